--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -47,6 +47,7 @@
     keep_alive: bool
     arrived_at: float  # on the system's monotonic clock, seconds
     bad: BadRequest | None = None
+    trace_id: str = ""
     is_up_check: bool = False
     class_index: int = 0
     tenant: int = 0
@@ -95,7 +96,8 @@
             raise BadRequest(405, "the class has another method")
         if effect is Effect.KEYED and not headers.get(b"idempotency-key"):
             raise BadRequest(400, "Idempotency-Key is missing")
-        if not headers.get(b"x-trace-id"):
+        request.trace_id = headers.get(b"x-trace-id", b"").decode("latin-1")
+        if not request.trace_id:
             raise BadRequest(400, "X-Trace-Id is missing")
         try:
             request.left_ms = read_number(headers[b"x-expires-in"]) * 1000.0
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -30,6 +30,10 @@
 LAST_WORD = 0.5
 
 
+LOG_SPAN_MS = 1000.0  # in each such span, so many unserved requests have a line of their own in the log
+LOG_LINES = 5
+
+
 class LiveRequest:
     __slots__ = ("attempts", "client", "id", "message", "timer", "until")
 
@@ -46,7 +50,7 @@
 
 
 class Attempt:
-    __slots__ = ("ended", "exchange", "index", "request", "sent_at", "server", "timer", "until")
+    __slots__ = ("ended", "exchange", "index", "outcome", "request", "sent_at", "server", "timer", "until")
 
     def __init__(self, request: LiveRequest, index: int, server: str, sent_at: float, until: float) -> None:
         self.request = request
@@ -55,10 +59,36 @@
         self.sent_at = sent_at
         self.until = until
         self.ended = False
+        self.outcome = "out"
         self.exchange: Exchange | None = None
         self.timer: Timer | None = None
 
 
+class UnservedLog:
+    """Why a request was not served, by the id that its caller gave it; a flood of them is cut short."""
+
+    def __init__(self) -> None:
+        self._since = -LOG_SPAN_MS
+        self._lines = self._left_out = 0
+
+    def write(self, request: LiveRequest, status: int) -> None:
+        now = now_ms()
+        if now - self._since >= LOG_SPAN_MS:
+            if self._left_out:
+                log.info("%d more requests were not served", self._left_out)
+            self._since, self._lines, self._left_out = now, 0, 0
+        if self._lines >= LOG_LINES:
+            self._left_out += 1
+            return
+        self._lines += 1
+        message = request.message
+        attempts = ", ".join(
+            f"{attempt.server} {attempt.outcome}, sent {now - attempt.sent_at:.0f} ms ago"
+            for attempt in request.attempts)
+        log.info("%s class %d answered %d after %.0f ms of %.0f: %s", message.trace_id, message.class_index,
+                 status, now - message.arrived_at * 1000.0, message.left_ms, attempts or "never sent")
+
+
 class Timer:
     """Never early: a time-out that comes before its time would leave room for a senseless further try."""
 
@@ -99,6 +129,7 @@
         self._last_id = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
+        self._unserved = UnservedLog()
         reader = ListReader(config.zones, config.kinds)
         self._discovery = Discovery(
             loop, config.discovery, reader, config.settings.must_ask,
@@ -252,6 +283,8 @@
         if client is not None:
             self._stop_timer(request)
             del self._by_client[client]
+            if status != 200:
+                self._unserved.write(request, status)
             client.answer(status, headers, body)
 
     def _send(self, action: api.Send) -> None:
@@ -307,6 +340,7 @@
         if attempt.ended:
             return
         attempt.ended = True
+        attempt.outcome = outcome.value
         if attempt.timer is not None:
             attempt.timer.cancel()
         if attempt.exchange is not None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -213,3 +213,36 @@
         assert (answer.status, answer.headers["retry-after"]) == (503, "0.250")
 
     run(test)
+
+
+def test_the_log_says_by_its_id_why_a_request_was_not_served(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            rig = await Rig().start(member("s1", backend.address))
+            script.react = first_to("s1")
+            caller = await rig.caller()
+            with caplog.at_level("INFO", "cometdoor.proxy"):
+                caller.ask(trace="aaaabbbbccccdddd")
+                (await backend.next()).reply(500)
+                assert (await caller.answer()).status == 502
+            (line,) = [line for line in caplog.messages if "aaaabbbbccccdddd" in line]
+            assert "answered 502" in line and "s1 error" in line
+
+    run(test)
+
+
+def test_a_flood_of_unserved_requests_does_not_flood_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        with Script().in_place() as script, mock.patch("cometdoor.proxy.LOG_SPAN_MS", 3_600_000.0):
+            rig = await Rig().start()
+            script.react = lambda event: (
+                [api.Refuse(event.request)] if isinstance(event, api.RequestArrived) else [])
+            caller = await rig.caller()
+            with caplog.at_level("INFO", "cometdoor.proxy"):
+                for _ in range(20):
+                    caller.ask()
+                    assert (await caller.answer()).status == 503
+            assert sum("answered 503" in line for line in caplog.messages) == 5
+
+    run(test)
