Count each answer by its own class's aim in the entry's limit

Symptom: from second 0 the entry refuses 44 to 64% of requests while servers report almost nothing full and nothing times out.

Evidence: traced by id, refused requests end "answered 503 after 626 ms of 3037: never sent": they wait at the entry for room, find none, and go without one attempt.

Lines at fault: Admission.__init__ took the patience and the strained time of the class with the shortest aim, 850 and 250 ms here, for every answer. Where a normal answer takes 900 ms, Little's law then allows fewer requests than the present pace needs; those refused lower the pace, and with it the limit.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -129,27 +129,34 @@
 
     def __init__(self, settings: api.Settings) -> None:
         self.top_worth = max(cls.worth for cls in settings.classes) or 1.0
-        self.patience_ms = min(cls.aim_ms * (QUEUE_SHARE + cls.late_worth) for cls in settings.classes)
-        self.strained_ms = min(cls.aim_ms * STRAINED_SHARE for cls in settings.classes)
         self.floor = 1.0
         self.out = 0  # requests that are out
         self.waiting: dict[float, dict[str, Request]] = {}  # by worth, the newest last
-        self.answers = Average(max(cls.aim_ms for cls in settings.classes))
-        self.strain = Average(2.0 * self.answers.fade_ms)  # the share of their aims that requests took
+        self.fade_ms = max(cls.aim_ms for cls in settings.classes)
+        self.patience = Average(self.fade_ms)  # the time that each answer should take by its own class
+        self.strained = Average(self.fade_ms)  # and that it may take once answers are not in time
+        self.strain = Average(2.0 * self.fade_ms)  # the share of their aims that requests took
         self.started_at: float | None = None
 
+    def answered(self, cls: api.RequestClass, now: float) -> None:
+        self.patience.add(cls.aim_ms * (QUEUE_SHARE + cls.late_worth), now)
+        self.strained.add(cls.aim_ms * STRAINED_SHARE, now)
+
     def limit(self, now: float) -> float:
-        """As many as were lately answered in the time that an answer should take (Little's law)."""
+        """As many as were lately answered in the time that an answer should take (Little's law).
+
+        Each class counts by its own aim: a slow class held to the aim of a fast one holds more out than
+        that would let through even on an empty fleet, is refused, and lowers the pace for all.
+        """
         if self.started_at is None:
             self.started_at = now
-        self.answers.fade(now)
-        fade_ms = self.answers.fade_ms
-        known = 1.0 - math.exp(min(self.started_at - now, -1.0) / fade_ms)
-        pace = self.answers.count / fade_ms / known
+        self.patience.fade(now)
+        self.strained.fade(now)
+        span_ms = self.fade_ms * (1.0 - math.exp(min(self.started_at - now, -1.0) / self.fade_ms))
         # Guards against refusals by chance: arrivals at one of many balancers come in clumps. Where a
         # balancer sees much traffic the mean is the larger. Harms while an overload is too young to show.
         calm = min(max((STRAINED - self.strain.mean(0.0, 1.0, now)) / CALM_RANGE, 0.0), 1.0)
-        mean = pace * (calm * self.patience_ms + (1.0 - calm) * self.strained_ms)
+        mean = (calm * self.patience.total + (1.0 - calm) * self.strained.total) / span_ms
         return self.floor + max(mean, calm * CLUMP * math.sqrt(mean))
 
     def has_room(self, request: Request, now: float) -> bool:
@@ -711,7 +718,7 @@
         elif event.outcome is Outcome.RESET:
             attempt.member.used_at = math.inf
         if request.open and event.outcome is Outcome.OK:
-            self._admission.answers.add(1.0, now)
+            self._admission.answered(request.cls, now)
         if request.open and (event.final or event.outcome is Outcome.TIMEOUT):
             self._admission.strain.add((now - request.arrived_at) / request.cls.aim_ms, now)
         if event.final or not request.open:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -380,16 +380,32 @@
 def test_less_is_let_in_once_answers_come_late() -> None:
     """Incident i33a6b4: servers slowed down by crowding were kept crowded up to their clients' patience."""
     limits = []
+    admission_class = replace(SAFE, late_worth=0.3)
     for strain in (0.2, 2.0):
-        admission = Admission(replace(SETTINGS, classes=(replace(SAFE, late_worth=0.3),)))
+        admission = Admission(replace(SETTINGS, classes=(admission_class,)))
         for at in range(0, 10_000, 50):
-            admission.answers.add(1.0, float(at))
+            admission.answered(admission_class, float(at))
             admission.strain.add(strain, float(at))
             admission.limit(float(at))
         limits.append(admission.limit(10_000.0))
     assert limits[1] < limits[0] / 2
 
 
+def test_a_slow_class_is_not_held_to_the_aim_of_a_fast_one() -> None:
+    """Recording ticket1412: answers well within their own aim, and half of the requests refused."""
+    slow = replace(UNSAFE, aim_ms=2500, deadline_ms=6000, late_worth=0.3)
+    fast = replace(UNSAFE, aim_ms=1000, deadline_ms=2500, late_worth=0.5)
+    checker = started(*servers(3), settings=replace(SETTINGS, classes=(slow, fast)))
+    for number in range(800):
+        checker.request(f"r{number}", left_ms=6000.0)
+        checker.advance(25.0)
+        for name, owed in checker.owed.items():
+            if owed.outstanding() and checker.now - owed.sent[0].at >= 1200.0:
+                checker.end(name, 0, Outcome.OK)
+    late_in_the_run = [checker.owed[f"r{number}"].answered for number in range(500, 700)]
+    assert late_in_the_run.count("Refuse") == 0
+
+
 def test_a_start_in_overload_is_judged_early() -> None:
     """Incident i1022db: no limit held in the first seconds, and the connection tables filled."""
     checker = started(*servers(9))
