Judge a crowded server by its part of the weight, not by the plain mean

In a test with 30 calls out, 9 servers and 3 zones, half of the calls left the own zone though its servers have six times the weight.

Lines at fault: Balancer._is_crowded compared a server's open calls with the plain mean. A server of the own zone, preferred by weight, is above that mean by intent, so it passed its turn to one across a zone border.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -342,7 +342,7 @@
         self._kind_slowness: dict[int, Average] = {}
         self._requests: dict[str, Request] = {}
         self._budget = AttemptBudget(settings.attempt_budget or OWN_BUDGET)
-        self._in_rotation = 0
+        self._rotated: list[Member] = []  # the ready servers of this balancer's subset
         self._warm_weight = 1.0  # of the servers in the rotation that are warm
         self._warm_sends = Average()
         self._warm_rate = 0.0  # sends in a ms and for each weight to warm servers, when there last were any
@@ -438,7 +438,7 @@
                 self._schedule(
                     member, self._virtual_now + self._random.random() / self._weight(member, now))
         self._warm_weight = sum(m.weight for m in ring if self._warmth(m, now) >= 1.0) or 1.0
-        self._in_rotation = max(1, sum(member.weight > 0.0 for member in ring))
+        self._rotated = [member for member in ring if member.weight > 0.0]
         self._admission.floor = max(1.0, FLOOR * len(ring) / settings.balancers)
 
     # --- rotation: smooth weighted round robin, kept as a heap of turns in virtual time ---
@@ -447,10 +447,14 @@
         member.turn = turn
         heappush(self._rotation, (turn, member.order, member))
 
-    def _weight(self, member: Member, now: float) -> float:
+    def _preferred_weight(self, member: Member, now: float) -> float:
         weight = member.weight * self._warmth(member, now)
         if self._settings.cross_zone_price and member.entry.zone == self._settings.zone:
             weight *= self._local_preference(now)
+        return weight
+
+    def _weight(self, member: Member, now: float) -> float:
+        weight = self._preferred_weight(member, now)
         # Where all fail alike, as when the tier below is down, nobody is to be shunned for it.
         works = 1.0 - member.failures.mean(0.0, KIND_SAMPLES, now)
         works = min(works / max(1.0 - self._failures.mean(0.0, KIND_SAMPLES, now), 1e-3), 1.0)
@@ -500,9 +504,15 @@
         if self._warm_sends.count >= KIND_SAMPLES:
             self._warm_rate = self._warm_sends.total / MEMORY_MS
 
-    def _is_crowded(self, member: Member) -> bool:
-        """Whether it holds more of this balancer's calls than the mean, by more than chance."""
-        return member.outstanding >= 1.0 + CROWDED * self._outstanding / self._in_rotation
+    def _is_crowded(self, member: Member, now: float) -> bool:
+        """Whether it holds more of this balancer's calls than its part, by more than chance.
+
+        Its part goes by weight: held to the plain mean, servers of the own zone lose the turns that they are
+        preferred by. What lowers a weight for being slow or failing does not count: that is seen in the calls.
+        """
+        total = sum(self._preferred_weight(other, now) for other in self._rotated)
+        part = self._outstanding * self._preferred_weight(member, now) / total
+        return member.outstanding >= 1.0 + CROWDED * part
 
     def _slowness(self, member: Member, now: float) -> float:
         """How slowly the server answers, as a multiple of the mean over all."""
@@ -549,7 +559,8 @@
             if member.name in crowded and not self._may_warm(member, now):
                 passed.append(entry)
                 continue
-            if member.name not in crowded and (self._is_crowded(member) or not self._may_warm(member, now)):
+            if member.name not in crowded and (
+                    self._is_crowded(member, now) or not self._may_warm(member, now)):
                 # It loses this turn, and is taken in the next where all are crowded.
                 crowded.add(member.name)
                 self._schedule(member, turn + 1.0 / self._weight(member, now))
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -98,6 +98,19 @@
     assert sum(turns[name] for name in own) > 260
 
 
+def test_the_own_zone_keeps_its_turns_under_many_open_calls() -> None:
+    """Day rough-1: held to the mean over all zones, the own zone's servers lost the turns they are due."""
+    fleet = tuple(api.Server(f"s{i}", zone=i % 3) for i in range(9))
+    checker = started(*fleet, settings=replace(SETTINGS, tier=1, tiers=2, cross_zone_price=0.1))
+    turns: Counter[int] = Counter()
+    for number in range(600):
+        turns.update(int(name[1:]) % 3 for name in sent_to(checker.request(f"r{number}", UNSAFE_INDEX)))
+        checker.advance(20.0)
+        if number >= 30:  # so many are out at any time
+            checker.end(f"r{number - 30}", 0, Outcome.OK)
+    assert turns[SETTINGS.zone] > 400
+
+
 def test_a_drained_server_gets_nothing_and_returns() -> None:
     checker = started(*servers(3))
     checker.list_servers(replace(servers(3)[1], state=State.DRAINING), kind=ListKind.DELTA)
