End silent callers in time, and resting ones where a server needs the descriptor

Evidence: callers' connections counted by state. At the worst 337 of the 352 descriptors are callers': 25 with an open request, 140 that never sent a byte, the rest at rest after an answer (a flood of some 200 callers at second 8). No server connection can be opened beside them: the attempts end as failed connects, which spends the retry budget and refuses the request.

Ruled out: a leak of server connections (10 to 35 of them), open requests (never above 60, less than a third of the descriptors).

Lines at fault: ClientConnection.connection_made set no timer, so a peer that sends nothing was kept for ever (one is owed a close within 3 s; READ_S was 10 s as well); Pool.send made room among server connections only, though Frontend.opened already ended resting callers for a new one.

A caller that was answered may be ended at once if nothing else can go, since it can send again; one that has not sent its first request only after 2 s.

--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol, cast
 
@@ -19,7 +20,11 @@
 
 MAX_BODY = MAX_HEAD = 64 * 1024
 MAX_AHEAD = 4  # requests read ahead on one connection, before reading from it pauses
-READ_S = 10.0  # from a request's first byte to its last
+# From a request's first byte to its last, and from connecting to the first request's last: a peer that sends
+# nothing proper is owed an error or a close within 3 s.
+READ_S = 2.5
+LOOK_AGAIN_S = 0.05
+REST_S = 2.0  # a connection without a request may be closed after that
 LINGER_S = 1.0  # a caller whose input was bad may go on sending for so long; it is read and dropped
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout",
@@ -121,6 +126,8 @@
         self._body: list[bytes] = []
         self._head_size = self._body_size = 0
         self._in_request = False  # some bytes of a request are in, but not all
+        self.is_new = True  # no whole request has come yet
+        self.rests_since = front.loop.time()
         self._ahead: deque[ClientRequest] = deque()
         self._reading_paused = False
         self._deaf = False  # what comes is dropped: the input was bad, or the connection is over
@@ -133,6 +140,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._read_timer = self._front.loop.call_later(READ_S, self._too_slow)
         self._front.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -150,16 +158,23 @@
             cause = problem.__context__
             self._bad_input(cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed"))
         if not self._in_request:
-            self._stop_read_timer()
+            if not self.is_new:
+                self._stop_read_timer()
         elif self._read_timer is None:
             self._read_timer = self._front.loop.call_later(READ_S, self._too_slow)
         self._next()
 
     def _too_slow(self) -> None:
-        """Guards against callers that stop in the middle of a request and keep their connection for ever."""
+        """Guards against callers that stop in a request, or before it, and keep their descriptor for ever."""
         self._read_timer = None
-        self._bad_input(BadRequest(408, "the request did not come in time"))
-        self._next()
+        if self._in_request:
+            self._bad_input(BadRequest(408, "the request did not come in time"))
+            self._next()
+        elif self.is_idle():
+            self.close()
+        elif not self._is_over():
+            # Bytes have come to the machine, not yet to us: perhaps the request.
+            self._read_timer = self._front.loop.call_later(LOOK_AGAIN_S, self._too_slow)
 
     def _stop_read_timer(self) -> None:
         if self._read_timer is not None:
@@ -204,7 +219,7 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        self._in_request = False
+        self._in_request = self.is_new = False
         request = ClientRequest(
             self._parser.get_method(), bytes(self._target), self._headers, b"".join(self._body),
             self._parser.should_keep_alive(), time.monotonic())
@@ -260,11 +275,13 @@
             self._end()
         elif self._ahead:
             self._front.loop.call_soon(self._next)
+        else:
+            self._front.rests(self)
 
     def _bad_input(self, problem: BadRequest) -> None:
         """What follows can't be read. Requests taken before it are answered first."""
         self._deaf = True
-        self._in_request = False
+        self._in_request = self.is_new = False
         self._ahead.append(ClientRequest(b"", b"", [], b"", False, time.monotonic(), bad=problem))
 
     def _end(self) -> None:
@@ -308,9 +325,12 @@
     descriptors: Descriptors
     handler: Handler
     closing: bool = False  # answers end their connections
-    connections: dict[ClientConnection, None] = field(default_factory=dict)  # the oldest first
+    connections: dict[ClientConnection, None] = field(default_factory=dict)  # the longest at rest first
     _server: asyncio.Server | None = None
 
+    def __post_init__(self) -> None:
+        self.descriptors.make_room = self.make_room
+
     async def listen(self, host: str, port: int) -> None:
         self._server = await self.loop.create_server(
             lambda: ClientConnection(self), host, port, backlog=1024, reuse_address=True)
@@ -335,10 +355,28 @@
         self.connections[connection] = None
         self.descriptors.used += 1
         if self.is_over_limit() and not self.handler.make_room():
-            for other in self.connections:
-                if other is not connection and other.is_idle():
-                    other.close()
-                    break
+            self._close_longest_at_rest(lambda other: other is not connection)
+
+    def rests(self, connection: ClientConnection) -> None:
+        connection.rests_since = self.loop.time()
+        self.connections[connection] = self.connections.pop(connection)
+
+    def make_room(self) -> bool:
+        """Ends a caller's connection that is at rest, best one that has been so for as long as it is owed.
+
+        After a flood of callers all rest but briefly. One that was answered loses nothing by an early end,
+        while an open request without a connection to a server is lost to its caller.
+        """
+        until = self.loop.time() - REST_S
+        return (self._close_longest_at_rest(lambda other: other.rests_since <= until)
+                or self._close_longest_at_rest(lambda other: not other.is_new))
+
+    def _close_longest_at_rest(self, may_go: Callable[[ClientConnection], bool]) -> bool:
+        for other in self.connections:
+            if may_go(other) and other.is_idle():
+                other.close()
+                return True
+        return False
 
     def closed(self, connection: ClientConnection) -> None:
         del self.connections[connection]
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -50,6 +50,7 @@
     def __init__(self, limit: int) -> None:
         self.limit = max(limit - self.RESERVE, 1)
         self.used = 0
+        self.make_room: Callable[[], bool] = lambda: False  # ends a caller's connection that is at rest
 
     def is_full(self) -> bool:
         return self.used >= self.limit
@@ -244,7 +245,7 @@
             self._take_out(connection)
             connection.start(exchange)
             return True
-        if self._descriptors.is_full() and not self.close_oldest_idle():
+        if self._descriptors.is_full() and not self.close_oldest_idle() and not self._descriptors.make_room():
             return False
         connection = Connection(self, server, address, exchange)
         exchange.connection = connection
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from cometdoor import frontend
 from jasperhall import api
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
 
@@ -188,10 +189,40 @@
 def test_a_caller_that_stops_in_the_middle_of_a_request_does_not_keep_its_connection() -> None:
     async def test() -> None:
         rig = await Rig().start()
-        caller = await rig.caller()
         with mock.patch("cometdoor.frontend.READ_S", 0.05):
+            caller = await rig.caller()
             caller.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Trace")
             assert (await caller.answer()).status == 408
             assert await caller.ended()
 
     run(test)
+
+
+@pytest.mark.parametrize("sent", [b"", b"\r\n"])
+def test_a_peer_that_never_sends_a_request_is_closed(sent: bytes) -> None:
+    """Recording ticket1412: silent peers held 140 descriptors, and servers could not be reached."""
+    async def test() -> None:
+        rig = await Rig().start()
+        with mock.patch("cometdoor.frontend.READ_S", 0.05):
+            caller = await rig.caller()
+            caller.writer.write(sent)
+            assert await caller.ended()
+
+    run(test)
+
+
+def test_silence_before_a_first_request_is_owed_a_close_within_3_s() -> None:
+    assert frontend.REST_S <= frontend.READ_S < 3.0
+
+
+def test_a_caller_that_has_asked_once_may_rest() -> None:
+    async def test() -> None:
+        rig = await Rig().start()
+        with mock.patch("cometdoor.frontend.READ_S", 0.05):
+            caller = await rig.caller()
+            for _ in range(2):
+                caller.writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+                assert (await caller.answer()).status == 503
+                await asyncio.sleep(0.15)  # thrice the time for a first request
+
+    run(test)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from unittest import mock
 
 import pytest
 
@@ -306,3 +307,38 @@
             assert not second.reader.at_eof()
 
     run(test)
+
+
+@pytest.mark.parametrize("rest_s", [0.0, 3600.0])
+def test_a_caller_at_rest_makes_room_for_a_connection_to_a_backend(rest_s: float) -> None:
+    """Recording ticket1412: idle callers held most descriptors, and requests found no way to a server."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script, mock.patch("cometdoor.frontend.REST_S", rest_s):
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address), sockets=Descriptors.RESERVE + 2)
+            resting, asking = await rig.caller(), await rig.caller()
+            resting.writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+            await resting.answer()
+            asking.ask()
+            (await backend.next()).reply(200, b"sent")
+            assert (await asking.answer()).body == b"sent"
+            assert await resting.ended()
+
+    run(test)
+
+
+def test_a_caller_that_has_just_connected_is_left_to_send_its_first_request() -> None:
+    """Ended before it is read, a first request has failed for good."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script, mock.patch("cometdoor.frontend.REST_S", 3600.0):
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address), sockets=Descriptors.RESERVE + 2)
+            new, asking = await rig.caller(), await rig.caller()
+            asking.ask()
+            assert (await asking.answer()).status == 502
+            new.writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await new.answer()).status == 200
+
+    run(test)
