Judge a try's lateness by the retry mark, not by the longest time left

Clients of this site cut every try but the last to about half of 6 s. A last try gets all that is left, 4.7 s, more than a first one.

Lines at fault: Balancer._arrive took the longest time left that it had seen for a first try's, and each that had less and whose aim was shorter than the difference as too late to earn. One last try made every later first try late. Clients here mark their retries; the mark was read and not used.

--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -87,6 +87,7 @@
     fall_ms: float = 3000.0  # for this time, a cold server falls over
     cross_zone_price: float = 0.0
     over_share_worth: float = 1.0  # worth of a request above its tenant's share
+    marks_retries: bool = False  # clients mark their repeats
 
     def __post_init__(self) -> None:
         if not self.classes:
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -349,7 +349,7 @@
         self._outstanding = 0
         self._shares = [Share(tenant, settings.balancers) for tenant in settings.tenants]
         self._admission = Admission(settings)
-        self._patience_ms = [0.0 for _ in settings.classes]  # the longest that a client waited for a try
+        self._patience_ms = [0.0 for _ in settings.classes]  # the longest that a client gave its first try
         self._timers: dict[int, str | None] = {}  # token -> request, or None for a renewed watch
         self._last_token = 0
         self._watch_due = False  # a timer to ask for the list is set
@@ -591,10 +591,8 @@
             raise ValueError(f"class_index: {event.class_index} is no class")
         cls = self._settings.classes[event.class_index]
         worth = cls.worth
-        # A client's try that came late has less time than its first: it no longer earns the full worth.
-        self._patience_ms[event.class_index] = max(self._patience_ms[event.class_index], event.left_ms)
-        spent_ms = cls.deadline_ms - event.left_ms
-        if event.left_ms < self._patience_ms[event.class_index] - SAME_MS and spent_ms > cls.aim_ms:
+        # A try that came past the aim of its client's first no longer earns the full worth.
+        if self._is_past_aim(event, cls):
             worth *= cls.late_worth
         # Else a tenant that sends several times its share crowds out those that keep to theirs.
         elif event.tenant < len(self._shares) and not self._shares[event.tenant].take(now):
@@ -607,6 +605,20 @@
             self._admission.hold(request)
             request.timer = self._set_timer(request.id, min(HOLD_SHARE * cls.aim_ms, event.left_ms / 2))
 
+    def _is_past_aim(self, event: api.RequestArrived, cls: api.RequestClass) -> bool:
+        """What is left tells the time spent, but for a try that its client ends early to make another.
+
+        Clients cut all tries but their last to one length, their first one's: a last try may be left more
+        time than a first. Where they mark nothing, all that have less than the most seen are taken as late.
+        """
+        if not event.is_retry:
+            known = self._patience_ms[event.class_index]
+            self._patience_ms[event.class_index] = max(known, event.left_ms)
+        if self._settings.marks_retries and not event.is_retry:
+            return False
+        cut = abs(event.left_ms - self._patience_ms[event.class_index]) <= SAME_MS
+        return not cut and cls.deadline_ms - event.left_ms > cls.aim_ms
+
     def _start(self, request: Request, now: float) -> None:
         self._admission.out += 1
         self._send(request, now)
--- a/jasperhall/simhost.py
+++ b/jasperhall/simhost.py
@@ -91,6 +91,7 @@
         fall_ms=part(rules, "fall_ms", 3000.0),
         cross_zone_price=part(prices, "cross_zone", 0.0),
         over_share_worth=part(info, "over_share_worth", 1.0),
+        marks_retries=part(part(info, "client_habits", {}), "marks_retry", False),
     )
 
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -80,10 +80,10 @@
         return self.feed(api.ListChanged(kind, entries))
 
     def request(self, name: str, class_index: int = 0, left_ms: float = 3000.0,
-                tenant: int = 0) -> list[api.Action]:
+                tenant: int = 0, is_retry: bool = False) -> list[api.Action]:
         self.taken.append(self.now)
         self.owed[name] = Owed(self.settings.classes[class_index], self.now + left_ms)
-        return self.feed(api.RequestArrived(name, class_index, left_ms, tenant))
+        return self.feed(api.RequestArrived(name, class_index, left_ms, tenant, is_retry=is_retry))
 
     def end(self, name: str, attempt: int, outcome: Outcome) -> list[api.Action]:
         owed = self.owed[name]
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -526,6 +526,25 @@
     assert past_aim(1.0, left_ms=1500.0) == 20  # late answers earn as much
 
 
+@pytest.mark.parametrize(("is_retry", "left_ms", "out"), [
+    (False, 1500.0, 20),  # a first try, cut to half of the time that its client has in all
+    (True, 1500.0, 20),  # a further try, cut like the first: what it may earn is not known
+    (True, 1900.0, 0),  # a client's last try has all that is left, and 1100 ms are gone
+    (True, 2200.0, 20),  # and here 800 ms: it can still be in time
+])
+def test_where_retries_are_marked_a_longer_last_try_makes_no_first_one_late(
+    is_retry: bool, left_ms: float, out: int
+) -> None:
+    """Recording ticket857: one retry with more time left, and each first try was taken as past its aim."""
+    classes = (replace(SAFE, late_worth=0.0, aim_ms=1000, deadline_ms=3000),)
+    checker = started(*servers(30), settings=replace(SETTINGS, classes=classes, marks_retries=True))
+    for number in range(int(30 * balancer.FLOOR * balancer.SPARE_SHARE) + 1):
+        checker.request(f"w{number}", left_ms=1500.0)
+    checker.request("last", left_ms=2300.0, is_retry=True)
+    tries = [checker.request(f"p{number}", left_ms=left_ms, is_retry=is_retry) for number in range(20)]
+    assert sum(bool(sent_to(actions)) for actions in tries) == out
+
+
 def test_tries_past_their_aim_do_not_use_up_the_share_of_their_tenant() -> None:
     """Day caruaru overload: refused tries came again too late and took the tokens of those in time."""
     settings = replace(SETTINGS, tenants=(api.Tenant(10.0),), over_share_worth=0.0)
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from jasperhall.simhost import read_settings
+
 LANE = {"aim_ms": 1000.0, "deadline_ms": 3000.0, "dedup_scope": "all", "effect": "retryable",
         "key_ttl_ms": 0.0, "late_worth": 0.2, "name": "read", "stream": False, "worth": 1.0,
         "a_key_to_come": 1}
@@ -210,3 +212,8 @@
 
 def test_the_end_of_input_ends_the_adapter() -> None:
     assert run().returncode == 0
+
+
+@pytest.mark.parametrize("marked", [True, False])
+def test_whether_clients_mark_their_retries_reaches_the_module(marked: bool) -> None:
+    assert read_settings({**INFO, "client_habits": {"marks_retry": marked}}).marks_retries is marked
