Report an unreadable answer as its server's error, not as a reset

Evidence: the bytes of 200 answers that ended so are no HTTP: "ICY 200 OK", two lengths, a chunk size of "zz", "HTTP/1.1 OK 200", binary noise. Our log calls them reset, after 20 to 120 ms, on connections that had been idle for longer.

Lines at fault: Connection.data_received ended what it could not parse as Outcome.RESET. The module takes a quick reset on a connection that had idled as a sign that idle connections are dropped unseen: it then closes them before use for 30 s, and does not hold the failure against the server.

--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -159,7 +159,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self._answer is None:
-                self._broken()
+                self._unreadable()
                 return
             self._reusable = False
         if self._size > MAX_ANSWER:
@@ -192,6 +192,10 @@
     def connection_lost(self, problem: Exception | None) -> None:
         self._broken()
 
+    def _unreadable(self) -> None:
+        """The backend's own doing, unlike a broken connection: it counts against the server."""
+        self._finish(Outcome.ERROR if self.is_written() else Outcome.CONNECT_FAILED)
+
     def _broken(self) -> None:
         """Before the request's last byte was written nothing can have run, after it all may have."""
         self._finish(Outcome.RESET if self.is_written() else Outcome.CONNECT_FAILED)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -85,20 +85,41 @@
             script.react = first_to("s1")
             rig = await Rig().start(member("s1", backend.address))
             caller = await rig.caller()
-            for ending in ("reset", "half an answer", "no HTTP", "another protocol"):
+            for ending in ("reset", "half an answer"):
                 caller.ask()
                 call = await backend.next()
                 if ending == "half an answer":
                     call.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
                     call.writer.close()
-                elif ending == "another protocol":
-                    call.writer.write(b"HTTP/1.1 101 Over\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n")
-                elif ending == "no HTTP":
-                    call.writer.write(b"what?\r\n\r\n")
                 else:
                     call.reset()
                 assert (await caller.answer()).status == 502
-            assert script.outcomes() == [(0, Outcome.RESET, False)] * 4
+            assert script.outcomes() == [(0, Outcome.RESET, False)] * 2
+
+    run(test)
+
+
+@pytest.mark.parametrize("answer", [
+    b"what?\r\n\r\n",
+    b"HTTP/1.1 101 Over\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 9\r\n\r\n123456789",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
+    b"HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\n1",
+])
+def test_an_answer_that_cannot_be_read_is_an_error_of_its_server(answer: bytes) -> None:
+    """Recording ticket857: taken for resets, they made idle connections distrusted and spared the server."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            caller = await rig.caller()
+            caller.ask()
+            call = await backend.next()
+            call.writer.write(answer)
+            assert (await caller.answer()).status == 502
+            await call.closed()
+            assert script.outcomes() == [(0, Outcome.ERROR, False)]
 
     run(test)
 
