Cut answers off at the protocol's 64 KiB and free them at once

Evidence: among the answers kept for the log are ones that state 3,000,000,000 bytes and send 1.1 MB within 2 ms before they are cut off. With the collector off, not one ended connection is freed.

Ruled out: requests that wait (under 60 open), the log, growth with time alone (proxies that meet no such answer stay at 14 MB).

Lines at fault: MAX_ANSWER read 1 MiB where the protocol allows 64 KiB, and no head had a limit. The parser and the connection hold each other, as do an attempt and its timer, so what was cut off stayed until a full round of a collector that was set to run rarely.

--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -190,6 +190,9 @@
         if self._linger is not None:
             self._linger.cancel()
         self._front.closed(self)
+        # The parser and the connection hold each other: bodies would stay until the collector's next round.
+        self._headers, self._body = [], []
+        del self._parser
 
     # --- httptools' calls ---
 
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -343,6 +343,7 @@
         attempt.outcome = outcome.value
         if attempt.timer is not None:
             attempt.timer.cancel()
+            attempt.timer = None  # it holds the attempt in turn
         if attempt.exchange is not None:
             attempt.exchange.abort()
             attempt.exchange = None
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -17,7 +17,8 @@
 from cometdoor.config import Address
 from jasperhall.api import Outcome
 
-MAX_ANSWER = 1 << 20  # bytes of an answer's body; the protocol allows 64 KiB, more is no answer
+MAX_BODY = MAX_HEAD = 64 * 1024  # bytes of an answer; the protocol allows no more body, more is no answer
+MAX_FRAMING = 8  # bytes on the wire for each of the body's, where it comes in small chunks
 NEVER_RAN_STATUS = (503, 504)
 
 
@@ -91,7 +92,8 @@
         self._wrote = self._paused = False
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._size = 0
+        self._size = self._received = 0
+        self._in_head = True
         self._answer: Answer | None = None
         self._reusable = False
 
@@ -162,22 +164,34 @@
                 self._unreadable()
                 return
             self._reusable = False
-        if self._size > MAX_ANSWER:
-            self._finish(Outcome.ERROR)
-        elif self._answer is not None:
+        self._received += len(data)
+        if self._answer is not None:
             self._finish(outcome_of(self._answer), self._answer)
+        elif self._received > (MAX_HEAD if self._in_head else MAX_HEAD + MAX_FRAMING * MAX_BODY):
+            self._unreadable()
 
     def on_message_begin(self) -> None:
-        self._headers, self._body, self._size = [], [], 0
+        self._clear()
+        self._in_head = True
         self._reusable = False
 
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        for name, value in self._headers:
+            if name.lower() == b"content-length" and int(value) > MAX_BODY:
+                raise ValueError("the answer is too large")
+
+    def _clear(self) -> None:
+        self._headers, self._body, self._size, self._received = [], [], 0, 0
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers.append((name, value or b""))
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size <= MAX_ANSWER:
-            self._body.append(body)
+        if self._size > MAX_BODY:
+            raise ValueError("the answer is too large")
+        self._body.append(body)
 
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
@@ -204,6 +218,7 @@
         exchange, self.exchange = self.exchange, None
         if answer is not None and self._reusable and self.is_written() and not self.closed:
             self._wrote = False
+            self._clear()
             self.pool.keep(self)
         else:
             self.abort()
@@ -218,6 +233,10 @@
         if not self.closed:
             self.closed = True
             self.pool.forget(self)
+            # The parser and the connection hold each other: what came of a cut off answer would stay
+            # until the collector's next long round.
+            self._clear()
+            del self._parser
         if self._transport is not None:
             self._transport.abort()
         elif self._opening is not None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import socket
+import weakref
 from unittest import mock
 
 import pytest
@@ -363,3 +365,75 @@
             assert (await new.answer()).status == 200
 
     run(test)
+
+
+@pytest.mark.parametrize("answer", [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 0x10001,
+    b"HTTP/1.1 200 OK\r\nX-Much: " + b"x" * 70_000,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" + b"x" * 700_000,
+])
+def test_an_answer_without_measure_is_cut_off_at_once(answer: bytes) -> None:
+    """Recording ticket857: answers of 3 GB were read up to 1 MB each, and memory came near its limit."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            caller = await rig.caller()
+            caller.ask(left="3600")
+            call = await backend.next()
+            call.writer.write(answer)
+            assert (await caller.answer()).status == 502
+            await call.closed()
+            assert script.outcomes() == [(0, Outcome.ERROR, False)]
+
+    run(test)
+
+
+def test_the_largest_body_that_the_protocol_allows_is_served() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        rig = await Rig().start(member("s1", backend.address))
+        caller = await rig.caller()
+        caller.ask()
+        (await backend.next()).reply(200, b"x" * 65536)
+        assert len((await caller.answer()).body) == 65536
+
+    run(test)
+
+
+def test_ended_connections_are_freed_without_the_collector() -> None:
+    """Recording ticket857: what came of answers that were cut off stayed, tens of MB in half a minute."""
+    async def test() -> None:
+        ended: list[weakref.ref[object]] = []
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            backend = await FakeServer().start()
+            rig = await Rig().start(member("s1", backend.address))
+            for _ in range(5):
+                caller = await rig.caller()
+                caller.ask()
+                call = await backend.next()
+                ended += [weakref.ref(connection) for connection in rig.front.connections]
+                (request,) = rig.proxy._requests.values()
+                exchange = request.attempts[0].exchange
+                assert exchange is not None and exchange.connection is not None
+                ended.append(weakref.ref(exchange.connection))
+                del request, exchange
+                call.writer.write(b"HTTP/1.1 200 OK\r\nX-Half: an answer")
+                call.writer.close()
+                await caller.answer()
+                caller.writer.close()
+                await call.closed()
+        while rig.front.connections:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        assert len(ended) == 10
+        assert [ref() for ref in ended if ref() is not None] == []
+
+    gc.disable()
+    try:
+        run(test)
+    finally:
+        gc.enable()
