Go on at the new discovery address on SIGHUP

What binds: the platform may replace the configuration file and send SIGHUP; discovery in it names another address, the old one takes no new connections and closes its own after 1.5 s. A proxy that ends on SIGHUP has crashed.

The file is read again, the watch goes on at the new address from the revision that is known, spread over a second because all proxies are told at once, and the module hears of no failure. A file that can't be used is logged and changes nothing.

The two tests fail without the change: the program ends, Proxy has no reconfigure.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -28,10 +28,19 @@
 log = logging.getLogger("cometdoor")
 
 
+def reload(proxy: Proxy) -> None:
+    """A file that can't be used must not end a proxy that runs well on the one before."""
+    try:
+        proxy.reconfigure(load_config())
+    except BadConfig as problem:
+        log.error("the configuration is kept as it was: %s", problem)
+
+
 async def serve(config: NodeConfig, stopping: asyncio.Event) -> None:
     loop = asyncio.get_running_loop()
     descriptors = Descriptors(config.sockets)
     proxy = Proxy(config, loop, descriptors)
+    loop.add_signal_handler(signal.SIGHUP, reload, proxy)
     front = Frontend(loop, RequestReader(config), descriptors, proxy)
     await front.listen(*config.listen)
     proxy.start()
--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -26,6 +26,9 @@
 SILENCE_S = 5.0  # a watch says something every 2 s; one that doesn't for so long is broken
 MAX_LINE = 8 << 20
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.1, 5.0  # between watches where lists are pushed
+# All proxies are told of a new address at one moment, and it answers calls in turn; the old one still
+# keeps its open connections for 1.5 s.
+MOVE_SPREAD_S = 1.0
 
 
 class ListReader:
@@ -165,6 +168,7 @@
         self._deliver = deliver
         self._watch: WatchConnection | None = None
         self._pause_s = FIRST_PAUSE_S
+        self._moving: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         if not self._must_ask:
@@ -172,6 +176,7 @@
 
     def watch(self) -> None:
         """A new call; it takes the place of the one before."""
+        self._stop_moving()
         if self._watch is not None:
             self._watch.end("replaced", tell=False)
         host, port = self._address
@@ -179,7 +184,23 @@
             self, f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}")
         self._watch.open(self._address)
 
+    def move(self, address: Address) -> None:
+        """Go on at another address from the known revision, without waiting for the old one's end."""
+        if address == self._address:
+            return
+        log.info("discovery moves to %s:%d", *address)
+        self._address = address
+        self._pause_s = FIRST_PAUSE_S
+        self._stop_moving()
+        self._moving = self.loop.call_later(random.uniform(0.0, MOVE_SPREAD_S), self.watch)
+
+    def _stop_moving(self) -> None:
+        if self._moving is not None:
+            self._moving.cancel()
+            self._moving = None
+
     def stop(self) -> None:
+        self._stop_moving()
         if self._watch is not None:
             self._watch.end("stopped", tell=False)
             self._watch = None
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -143,6 +143,10 @@
     def stop(self) -> None:
         self._discovery.stop()
 
+    def reconfigure(self, config: NodeConfig) -> None:
+        """The platform moves discovery while the proxy runs; all else holds until the next start."""
+        self._discovery.move(config.discovery)
+
     def owes_answers(self) -> bool:
         return bool(self._by_client)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,13 +4,15 @@
 
 import time
 from typing import Any
+from unittest import mock
 
 import pytest
 
+from cometdoor.config import read_config
 from cometdoor.discovery import ListReader
 from jasperhall import api
 from jasperhall.api import ListKind, State
-from tests.rig import FakeServer, Rig, Script, member, run
+from tests.rig import FakeServer, Rig, Script, make_config, member, run
 
 
 def asks(event: api.Event) -> list[api.Action]:
@@ -97,6 +99,30 @@
     run(test)
 
 
+@pytest.mark.parametrize("asked", [True, False])
+def test_after_a_move_the_watch_goes_on_at_the_new_address_without_a_failure(asked: bool) -> None:
+    async def test() -> None:
+        old, new = await FakeServer().start(), await FakeServer().start()
+        with Script().in_place() as script, mock.patch("cometdoor.discovery.MOVE_SPREAD_S", 0.02):
+            if asked:
+                script.react = asks
+            rig = await Rig().start(member("s1", "127.0.0.1:9"), discovery=old.address, asked=asked)
+            call = await old.next()
+            call.open_stream()
+            call.send_list(43, True, member("s1", "127.0.0.1:9"))
+            assert (await script.until(api.ListChanged)).kind is ListKind.CACHED
+            assert (await script.until(api.ListChanged)).kind is ListKind.FULL
+            rig.proxy.reconfigure(read_config(make_config("127.0.0.1:1", new.address), {}))
+            moved = await new.next()
+            assert moved.message.start == b"GET /discovery/hosts?stream=1&index=43 HTTP/1.1"
+            await call.closed()
+            moved.open_stream()
+            moved.send_list(44, False, member("s1", "127.0.0.1:9", phase="terminating"))
+            assert (await script.until(api.ListChanged)).kind is ListKind.DELTA
+
+    run(test)
+
+
 def test_idle_connections_to_a_backend_that_leaves_are_closed() -> None:
     async def test() -> None:
         discovery, backend = await FakeServer().start(), await FakeServer().start()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -112,3 +112,24 @@
         assert await process.wait() == 0
 
     run(test)
+
+
+def test_sighup_moves_to_the_discovery_of_the_file_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new = await FakeServer().start(), await FakeServer().start()
+        listen = f"127.0.0.1:{free_port()}"
+        process = await launch(json.dumps(make_config(listen, old.address)), tmp_path)
+        await until_serving(process)
+        (await old.next()).open_stream()
+        assert process.stderr is not None
+        (tmp_path / "config.json").write_text("{")
+        process.send_signal(signal.SIGHUP)
+        while b"kept as it was" not in await process.stderr.readline():
+            assert process.returncode is None
+        (tmp_path / "config.json").write_text(json.dumps(make_config(listen, new.address)))
+        process.send_signal(signal.SIGHUP)
+        assert b"index=41" in (await new.next()).message.start
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+
+    run(test)
