Let the own zone's servers bear their part of the traffic and no more

The two entries stand in the first two zones; astana has servers and no entry.

Lines at fault: Balancer._local_preference gave near servers six times the weight whatever part of the fleet they are. One server of five with an entry of its own got 60% of half the traffic. The preference is now at most what gives the zone its part; it still goes as near answers become slow, down to none where it used to go below.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -343,6 +343,7 @@
         self._requests: dict[str, Request] = {}
         self._budget = AttemptBudget(settings.attempt_budget or OWN_BUDGET)
         self._rotated: list[Member] = []  # the ready servers of this balancer's subset
+        self._fair_preference = LOCAL_PREFERENCE
         self._warm_weight = 1.0  # of the servers in the rotation that are warm
         self._warm_sends = Average()
         self._warm_rate = 0.0  # sends in a ms and for each weight to warm servers, when there last were any
@@ -427,6 +428,7 @@
         if settings.cross_zone_price and settings.zone in zones and len(zones) > 1:
             self._cover([m for m in ready if m.entry.zone == settings.zone], settings.balancers / len(zones))
             self._cover([m for m in ready if m.entry.zone != settings.zone], settings.balancers)
+            self._limit_preference(ready, len(zones))
         else:
             self._cover(ready, settings.balancers)
         self._rotated = [member for member in ready if member.weight > 0.0]
@@ -438,6 +440,22 @@
         self._warm_weight = sum(m.weight for m in ready if self._warmth(m, now) >= 1.0) or 1.0
         self._admission.floor = max(1.0, FLOOR * len(ready) / settings.balancers)
 
+    def _limit_preference(self, ready: list[Member], zones: int) -> None:
+        """The own zone's servers bear their part of the traffic, and no more for being near.
+
+        With fewer balancers than zones some zone has servers and no traffic of its own: its part has to
+        cross. A zone's balancers are taken to be as many as any other's, and at least this one.
+        """
+        zone, balancers = self._settings.zone, self._settings.balancers
+        near = sum(m.entry.weight for m in ready if m.entry.zone == zone) / sum(m.entry.weight for m in ready)
+        most = near * balancers / max(balancers / zones, 1.0)  # of what this one sends, to its own zone
+        near_weight = sum(m.weight for m in ready if m.entry.zone == zone)
+        far_weight = sum(m.weight for m in ready if m.entry.zone != zone)
+        self._fair_preference = LOCAL_PREFERENCE
+        if most < 1.0:
+            fair = most * far_weight / (near_weight * (1.0 - most))
+            self._fair_preference = min(max(fair, 1.0), LOCAL_PREFERENCE)
+
     def _cover(self, ring: list[Member], balancers: float) -> None:
         weights = [max(member.entry.weight, 1e-3) for member in ring]
         total = sum(weights)
@@ -478,7 +496,7 @@
         preference goes. It may harm where the way itself makes far answers slow: then it never goes.
         """
         near, far = (average.mean(1.0, KIND_SAMPLES, now) for average in self._zone_slowness)
-        return LOCAL_PREFERENCE * float(min(far / near, 1.0) ** LOCAL_POWER)
+        return 1.0 + (self._fair_preference - 1.0) * float(min(far / near, 1.0) ** LOCAL_POWER)
 
     def _warmth(self, member: Member, now: float) -> float:
         """The share of its capacity that a server has; taken to grow as slowly as the settings allow."""
