Bound a head that has no end, and read no further from who reads no answers

What binds: between 32 and 192 MB of memory, and peers that send 60 MB of what is no proper request.

Evidence: a request whose header line does not end is kept by the parser whole, up to the 2.5 s that a request may take; MAX_HEAD was counted only when a line was complete. A caller that sends requests and reads nothing had each answer buffered.

Lines at fault: ClientConnection.data_received and _count_head; pause_writing was not handled. Both tests fail without the change.

--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -125,11 +125,14 @@
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._head_size = self._body_size = 0
+        self._in_head = False
+        self._unparsed = 0  # bytes of a head that is not whole yet: the parser keeps them, however many
         self._in_request = False  # some bytes of a request are in, but not all
         self.is_new = True  # no whole request has come yet
         self.rests_since = front.loop.time()
         self._ahead: deque[ClientRequest] = deque()
         self._reading_paused = False
+        self._unread = False  # answers wait that the caller does not read
         self._deaf = False  # what comes is dropped: the input was bad, or the connection is over
         self._linger: asyncio.TimerHandle | None = None
         self._read_timer: asyncio.TimerHandle | None = None
@@ -146,6 +149,7 @@
     def data_received(self, data: bytes) -> None:
         if self._deaf:
             return
+        was_in_head = self._in_head
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -157,6 +161,10 @@
             # What a callback raises comes wrapped.
             cause = problem.__context__
             self._bad_input(cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed"))
+        else:
+            self._unparsed = self._unparsed + len(data) if was_in_head and self._in_head else 0
+            if self._unparsed > MAX_HEAD:
+                self._bad_input(BadRequest(431, "the head is too large"))
         if not self._in_request:
             if not self.is_new:
                 self._stop_read_timer()
@@ -181,6 +189,14 @@
             self._read_timer.cancel()
             self._read_timer = None
 
+    def pause_writing(self) -> None:
+        """Guards against callers that ask on and on and read nothing: their answers would fill the memory."""
+        self._unread = True
+
+    def resume_writing(self) -> None:
+        self._unread = False
+        self._next()
+
     def eof_received(self) -> None:
         self._gone()
 
@@ -200,7 +216,7 @@
         self._target.clear()
         self._headers, self._body = [], []
         self._head_size = self._body_size = 0
-        self._in_request = True
+        self._in_request = self._in_head = True
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -211,6 +227,7 @@
         self._count_head(len(name) + len(value or b""))
 
     def on_headers_complete(self) -> None:
+        self._in_head = False
         for name, value in self._headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue" and self._transport:
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -243,7 +260,7 @@
     # --- requests in turn ---
 
     def _next(self) -> None:
-        while self.request is None and self._ahead and not self._is_over():
+        while self.request is None and self._ahead and not self._unread and not self._is_over():
             request = self.request = self._ahead.popleft()
             if request.bad is not None:
                 self.answer(request.bad.status, [], str(request.bad).encode())
@@ -254,7 +271,7 @@
             else:
                 self._front.handler.take(self, request)
         if self._transport is not None and not self._is_over():
-            full = len(self._ahead) >= MAX_AHEAD
+            full = len(self._ahead) >= MAX_AHEAD or self._unread
             if full != self._reading_paused:
                 self._reading_paused = full
                 if full:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -226,3 +226,37 @@
                 await asyncio.sleep(0.15)  # thrice the time for a first request
 
     run(test)
+
+
+def test_a_head_without_end_is_refused_before_it_fills_the_memory() -> None:
+    """The parser keeps an unfinished line however long it is: 60 MB are more than some proxies may hold."""
+    async def test() -> None:
+        rig = await Rig().start()
+        caller = await rig.caller()
+        caller.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Much: ")
+        for _ in range(8):
+            caller.writer.write(b"x" * 32 * 1024)
+            await asyncio.sleep(0)
+        assert (await caller.answer()).status == 431
+        assert await caller.ended()
+
+    run(test)
+
+
+def test_a_caller_that_does_not_read_its_answers_gets_no_more_until_it_does() -> None:
+    """Else one that asks on and on would fill the memory with answers."""
+    async def test() -> None:
+        rig = await Rig().start()
+        caller = await rig.caller()
+        caller.writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert (await caller.answer()).status == 503
+        (connection,) = rig.front.connections
+        connection.pause_writing()  # as the transport says it when its buffer is full
+        caller.writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n" * 2)
+        answer = asyncio.ensure_future(caller.answer())
+        assert not (await asyncio.wait([answer], timeout=0.1))[0]
+        connection.resume_writing()
+        assert (await answer).status == 503
+        assert (await caller.answer()).status == 503
+
+    run(test)
