Keep to a part above nothing for servers that the list gives no weight

The cap on the own zone divided by the ready servers' list weights: where a list gives all of them 0, each change of the list ended in a ZeroDivisionError, and the rotation kept the old state. Rings already took at least 0.001 for each; the cap now takes the same. The test fails with the error without the change.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -97,6 +97,10 @@
         self.outstanding = 0
         self.used_at = math.inf  # when a connection to it last fell idle; infinite where there is none
 
+    def part(self) -> float:
+        """Its list weight; above nothing, since it is ready all the same."""
+        return max(self.entry.weight, 1e-3)
+
     def group(self, scope: Scope) -> int | None:
         return {Scope.ALL: None, Scope.ZONE: self.entry.zone, Scope.CELL: self.entry.cell}[scope]
 
@@ -447,7 +451,7 @@
         cross. A zone's balancers are taken to be as many as any other's, and at least this one.
         """
         zone, balancers = self._settings.zone, self._settings.balancers
-        near = sum(m.entry.weight for m in ready if m.entry.zone == zone) / sum(m.entry.weight for m in ready)
+        near = sum(m.part() for m in ready if m.entry.zone == zone) / sum(m.part() for m in ready)
         most = near * balancers / max(balancers / zones, 1.0)  # of what this one sends, to its own zone
         near_weight = sum(m.weight for m in ready if m.entry.zone == zone)
         far_weight = sum(m.weight for m in ready if m.entry.zone != zone)
@@ -457,7 +461,7 @@
             self._fair_preference = min(max(fair, 1.0), LOCAL_PREFERENCE)
 
     def _cover(self, ring: list[Member], balancers: float) -> None:
-        weights = [max(member.entry.weight, 1e-3) for member in ring]
+        weights = [member.part() for member in ring]
         total = sum(weights)
         length = total * min(1.0, max(MIN_SUBSET / max(len(ring), 1), MIN_COVER / balancers))
         start = total * (self._settings.position * GOLDEN % 1.0)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -121,6 +121,12 @@
     assert sum(turns[f"s{i}"] for i in range(near)) / 300 == pytest.approx(own_share, abs=0.05)
 
 
+def test_a_list_that_gives_no_server_any_weight_is_rotated_over_evenly() -> None:
+    fleet = tuple(api.Server(f"s{i}", weight=0.0, zone=i % 2) for i in range(4))
+    checker = started(*fleet, settings=replace(SETTINGS, balancers=2, cross_zone_price=0.1))
+    assert serve(checker, 200).keys() == {server.name for server in fleet}
+
+
 def test_a_subset_holds_enough_servers_of_the_own_zone() -> None:
     """Day rough-1: of the five servers that a balancer of a later tier rotated over, most were elsewhere."""
     fleet = tuple(api.Server(f"s{i}", zone=i % 3, cell=i) for i in range(36))
