Hold the entry's limit by how much longer answers take than where there is no crowd

The lower tiers idle meanwhile (costing: 115 calls in 2 s against 540, answered in 200 ms as before), so they are not short. Each warm server of the first tier that once held 30 to 45 calls answers 10 to 20 calls in 2 s from then on, each in about 2 s, where it had answered 45 to 60 in 0.9 s: crowded servers choke and stay so while they have work. Seven entries let that happen together: each had 27 out of a limit of 45, four to five on each server. Load reports do not show it, their queue is always 0 (17,251 answers).

Ruled out: inner tiers refusing (none of their requests went unsent), failed connects (16 of 150), discovery (34 calls refused in all, lists in time).

Once strained, it allowed a quarter of the aim, less than an uncrowded answer takes here (a third), so that it sank to its floor and stayed there.

Now what answers take is held against the least mean of the last 10 s, which an entry sees by itself within two seconds; a fleet that is slower for good raises that mean, so it is not starved.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -37,7 +37,12 @@
 CLUMP = 3.0  # standard deviations of chance arrivals that are let through while answers are well in time
 STRAINED = 0.85  # share of its aim that an answer takes on the mean from where on no clump is let through
 CALM_RANGE = 0.35  # and so much below that all of it is
+CROWDING = 1.4  # the same, as a multiple of the share that an answer takes where there is no crowd
+CROWDING_RANGE = 0.4
+BASE_MS = 10_000.0  # an answer takes the least of the means within this time where there is no crowd
+BASE_SAMPLES = 20  # answers that a mean goes over at the least; and over the longest aim
 STRAINED_SHARE = 0.25  # and that it may take once answers are not in time: servers slow down when crowded
+STRAIN_MS = 2_000.0  # servers choke within seconds: what answers take is judged over no longer time
 HOLD_SHARE = 0.25  # of its aim that a request may wait at the entry for room
 COLD_MARGIN = 0.5  # of the stated overload that all balancers together may put on a cold server
 SAME_MS = 50.0  # patience that differs by less is the same: what is left varies with the way here
@@ -125,6 +130,33 @@
         return within
 
 
+class Base:
+    """The share of its aim that an answer takes while there is no crowd: the least of the recent means."""
+
+    def __init__(self, span_ms: float) -> None:
+        self._span_ms = span_ms
+        self._means: deque[tuple[float, float]] = deque()  # when each was over, and the mean
+        self._since = -math.inf
+        self._total = 0.0
+        self._count = 0
+
+    def add(self, share: float, now: float) -> None:
+        self._total += share
+        self._count += 1
+        if now - self._since < self._span_ms or self._count < BASE_SAMPLES:
+            return
+        # Of the very first, the slow ones are not yet in.
+        if self._since > -math.inf:
+            self._means.append((now, self._total / self._count))
+        self._since, self._total, self._count = now, 0.0, 0
+
+    def least(self, now: float) -> float:
+        """0 where nothing is known."""
+        while len(self._means) > 1 and self._means[0][0] < now - BASE_MS:
+            self._means.popleft()
+        return min((mean for _, mean in self._means), default=0.0)
+
+
 class Admission:
     """At the clients' entry: how many requests may be out, and which of those that wait goes next.
 
@@ -139,12 +171,15 @@
         self.fade_ms = max(cls.aim_ms for cls in settings.classes)
         self.patience = Average(self.fade_ms)  # the time that each answer should take by its own class
         self.strained = Average(self.fade_ms)  # and that it may take once answers are not in time
-        self.strain = Average(2.0 * self.fade_ms)  # the share of their aims that requests took
+        self.strain = Average(STRAIN_MS)  # the share of their aims that requests took, once sent
+        self.base = Base(self.fade_ms)
         self.started_at: float | None = None
 
-    def answered(self, cls: api.RequestClass, now: float) -> None:
+    def answered(self, cls: api.RequestClass, took_ms: float, now: float) -> None:
+        self.base.add(took_ms / cls.aim_ms, now)
         self.patience.add(cls.aim_ms * (QUEUE_SHARE + cls.late_worth), now)
-        self.strained.add(cls.aim_ms * STRAINED_SHARE, now)
+        share = min(max(STRAINED_SHARE, self.base.least(now)), QUEUE_SHARE)
+        self.strained.add(cls.aim_ms * share, now)
 
     def limit(self, now: float) -> float:
         """As many as were lately answered in the time that an answer should take (Little's law).
@@ -158,8 +193,13 @@
         self.strained.fade(now)
         span_ms = self.fade_ms * (1.0 - math.exp(min(self.started_at - now, -1.0) / self.fade_ms))
         # Guards against refusals by chance: arrivals at one of many balancers come in clumps. Where a
-        # balancer sees much traffic the mean is the larger. Harms while an overload is too young to show.
-        calm = min(max((STRAINED - self.strain.mean(0.0, 1.0, now)) / CALM_RANGE, 0.0), 1.0)
+        # balancer sees much traffic the mean is the larger. Harms while an overload is too young to show:
+        # a server holds the calls of all balancers, and chokes long before the mean answer comes late.
+        strain = self.strain.mean(0.0, 1.0, now)
+        calm = (STRAINED - strain) / CALM_RANGE
+        if base := self.base.least(now):
+            calm = min(calm, (CROWDING - strain / base) / CROWDING_RANGE)
+        calm = min(max(calm, 0.0), 1.0)
         mean = (calm * self.patience.total + (1.0 - calm) * self.strained.total) / span_ms
         return self.floor + max(mean, calm * CLUMP * math.sqrt(mean))
 
@@ -773,9 +813,9 @@
         elif event.outcome is Outcome.RESET:
             attempt.member.used_at = math.inf
         if request.open and event.outcome is Outcome.OK:
-            self._admission.answered(request.cls, now)
+            self._admission.answered(request.cls, now - request.attempts[0].sent_at, now)
         if request.open and (event.final or event.outcome is Outcome.TIMEOUT):
-            self._admission.strain.add((now - request.arrived_at) / request.cls.aim_ms, now)
+            self._admission.strain.add((now - request.attempts[0].sent_at) / request.cls.aim_ms, now)
         if event.final or not request.open:
             self._close(request.id)
             if not request.outstanding():
