Judge a crowd by answered attempts alone, and let half again the base pass

At fault. _attempt_ended counted crowding where the wait for a dead server is counted, and 1.4 of the base is within the scatter of uncrowded answers. The sum over requests that fail or run out of time goes on to be held against the aim as it always was.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -37,12 +37,12 @@
 CLUMP = 3.0  # standard deviations of chance arrivals that are let through while answers are well in time
 STRAINED = 0.85  # share of its aim that an answer takes on the mean from where on no clump is let through
 CALM_RANGE = 0.35  # and so much below that all of it is
-CROWDING = 1.4  # the same, as a multiple of the share that an answer takes where there is no crowd
-CROWDING_RANGE = 0.4
+CROWDING = 1.5  # the same, as a multiple of the share that an answer takes where there is no crowd
+CROWDING_RANGE = 0.45
 BASE_MS = 10_000.0  # an answer takes the least of the means within this time where there is no crowd
 BASE_SAMPLES = 20  # answers that a mean goes over at the least; and over the longest aim
 STRAINED_SHARE = 0.25  # and that it may take once answers are not in time: servers slow down when crowded
-STRAIN_MS = 2_000.0  # servers choke within seconds: what answers take is judged over no longer time
+TAKEN_MS = 2_000.0  # servers choke within seconds: what answers take is judged over no longer time
 HOLD_SHARE = 0.25  # of its aim that a request may wait at the entry for room
 COLD_MARGIN = 0.5  # of the stated overload that all balancers together may put on a cold server
 SAME_MS = 50.0  # patience that differs by less is the same: what is left varies with the way here
@@ -171,12 +171,14 @@
         self.fade_ms = max(cls.aim_ms for cls in settings.classes)
         self.patience = Average(self.fade_ms)  # the time that each answer should take by its own class
         self.strained = Average(self.fade_ms)  # and that it may take once answers are not in time
-        self.strain = Average(STRAIN_MS)  # the share of their aims that requests took, once sent
+        self.strain = Average(2.0 * self.fade_ms)  # the share of their aims that requests took
+        self.taken = Average(TAKEN_MS)  # the same of attempts that were answered, from when they were sent
         self.base = Base(self.fade_ms)
         self.started_at: float | None = None
 
     def answered(self, cls: api.RequestClass, took_ms: float, now: float) -> None:
         self.base.add(took_ms / cls.aim_ms, now)
+        self.taken.add(took_ms / cls.aim_ms, now)
         self.patience.add(cls.aim_ms * (QUEUE_SHARE + cls.late_worth), now)
         share = min(max(STRAINED_SHARE, self.base.least(now)), QUEUE_SHARE)
         self.strained.add(cls.aim_ms * share, now)
@@ -195,10 +197,9 @@
         # Guards against refusals by chance: arrivals at one of many balancers come in clumps. Where a
         # balancer sees much traffic the mean is the larger. Harms while an overload is too young to show:
         # a server holds the calls of all balancers, and chokes long before the mean answer comes late.
-        strain = self.strain.mean(0.0, 1.0, now)
-        calm = (STRAINED - strain) / CALM_RANGE
+        calm = (STRAINED - self.strain.mean(0.0, 1.0, now)) / CALM_RANGE
         if base := self.base.least(now):
-            calm = min(calm, (CROWDING - strain / base) / CROWDING_RANGE)
+            calm = min(calm, (CROWDING - self.taken.mean(base, 1.0, now) / base) / CROWDING_RANGE)
         calm = min(max(calm, 0.0), 1.0)
         mean = (calm * self.patience.total + (1.0 - calm) * self.strained.total) / span_ms
         return self.floor + max(mean, calm * CLUMP * math.sqrt(mean))
@@ -813,9 +814,9 @@
         elif event.outcome is Outcome.RESET:
             attempt.member.used_at = math.inf
         if request.open and event.outcome is Outcome.OK:
-            self._admission.answered(request.cls, now - request.attempts[0].sent_at, now)
+            self._admission.answered(request.cls, now - attempt.sent_at, now)
         if request.open and (event.final or event.outcome is Outcome.TIMEOUT):
-            self._admission.strain.add((now - request.attempts[0].sent_at) / request.cls.aim_ms, now)
+            self._admission.strain.add((now - request.arrived_at) / request.cls.aim_ms, now)
         if event.final or not request.open:
             self._close(request.id)
             if not request.outstanding():
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -443,7 +443,6 @@
         for at in range(0, 10_000, 50):
             share = 0.25 if at < 6000 else crowded
             admission.answered(admission_class, share * admission_class.aim_ms, float(at))
-            admission.strain.add(share, float(at))
             admission.limit(float(at))
         limits.append(admission.limit(10_000.0))
     assert limits[1] < limits[0] / 2
@@ -456,12 +455,29 @@
     for at in range(0, 30_000, 50):
         share = 0.2 if at < 6000 else 0.4
         admission.answered(admission_class, share * admission_class.aim_ms, float(at))
-        admission.strain.add(share, float(at))
         limits.append(admission.limit(float(at)))
     assert min(limits[100:]) < 0.6 * limits[110]
     assert limits[-1] > 0.95 * limits[110]
 
 
+def test_servers_that_answer_nothing_are_no_sign_of_a_crowd() -> None:
+    """Day zone+vast: a zone fell silent, and the entries refused what the other zones had room for."""
+    checker = started(*servers(9))
+    for number in range(60):
+        checker.request(f"r{number}", UNSAFE_INDEX)
+        checker.advance(50.0)
+        checker.end(f"r{number}", 0, Outcome.OK)
+    checker.request("lost")
+    first = checker.owed["lost"].sent[0]
+    checker.advance(600.0)
+    taken = checker.balancer._admission.taken
+    before = taken.total / taken.count
+    checker.end("lost", 0, Outcome.RESET)
+    assert checker.owed["lost"].sent[-1] is not first
+    checker.end("lost", len(checker.owed["lost"].sent) - 1, Outcome.OK)
+    assert taken.total / taken.count < 1.1 * before
+
+
 def test_the_time_that_a_request_waits_for_room_is_no_sign_of_a_crowd() -> None:
     """Else the limit falls by the waiting that it causes."""
     checker = started(*servers(9))
@@ -472,9 +488,9 @@
     for name in checker.owed.keys() - held:
         checker.end(name, 0, Outcome.OK)
     sent = [name for name in held if checker.owed[name].outstanding()]
-    strain = checker.balancer._admission.strain.total
+    strain = checker.balancer._admission.taken.total
     checker.end(sent[0], 0, Outcome.OK)
-    assert checker.balancer._admission.strain.total == strain
+    assert checker.balancer._admission.taken.total == strain
 
 
 def test_a_slow_class_is_not_held_to_the_aim_of_a_fast_one() -> None:
