Weigh a cold server by nearly twice the least that it may bear

Evidence, counted over all entries: new servers answered in 600 to 1000 ms, like warm ones before the release, with 4 to 13 calls in 2 s for ten seconds; the three or four warm ones held 20 to 50 calls each and answered in 1.2 to 2.6 s. The pace that rule 4 allows (twice the least capacity) never bound; the turns did.

Ruled out: failed sends to cold servers (none full, few errors); the list (new servers were ready at every entry within half a second of each other).

The weight in the rotation is the least capacity that the settings allow, from the lowest start along the slowest warm-up: right for the budget of rule 4, but it takes every server for the worst one, and servers that warm by the work they do are kept cold by it. Weights now lead by 1.8, still below the budget of twice the least, which stands as it was.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -45,6 +45,7 @@
 TAKEN_MS = 2_000.0  # servers choke within seconds: what answers take is judged over no longer time
 HOLD_SHARE = 0.25  # of its aim that a request may wait at the entry for room
 COLD_MARGIN = 0.5  # of the stated overload that all balancers together may put on a cold server
+COLD_LEAD = 1.8  # a cold server is weighed by so many times the least that it may bear by then
 SAME_MS = 50.0  # patience that differs by less is the same: what is left varies with the way here
 LOCAL_POWER = 3.0  # answers of the own zone half again as slow as others take most of that away
 LOCAL_PREFERENCE = 6.0  # how much more a server of the own zone counts where crossing has a price
@@ -521,7 +522,7 @@
         heappush(self._rotation, (turn, member.order, member))
 
     def _preferred_weight(self, member: Member, now: float) -> float:
-        weight = member.weight * self._warmth(member, now)
+        weight = member.weight * min(COLD_LEAD * self._warmth(member, now), 1.0)
         if self._settings.cross_zone_price and member.entry.zone == self._settings.zone:
             weight *= self._local_preference(now)
         return weight
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -689,6 +689,17 @@
     assert 0 < sends <= 3.0 * capacity
 
 
+def test_a_cold_server_gets_more_than_the_least_that_it_may_bear() -> None:
+    """Days join+vast: new servers answered faster than the crowded ones, with a third of their calls."""
+    fleet = servers(10)
+    checker = started(*fleet, settings=COLD)
+    serve(checker, 1500)
+    checker.list_servers(replace(fleet[0], started_at=checker.now - 5000.0), kind=ListKind.DELTA)
+    least = 0.2 + 0.8 * 5000.0 / 20_000.0
+    turns = serve(checker, 380, tag="b")[fleet[0].name]
+    assert 1.3 * least < turns / (380 / 10) < 2.0 * least + 0.1
+
+
 def test_with_nowhere_safe_to_send_a_request_is_refused() -> None:
     checker = started(*servers(10), settings=COLD)
     serve(checker, 400)
