Give the room at the entry to the newest of any class, not to the dearest first

Not its size or its way: its attempts end well as often, and 28% of the requests are price-check.

Admission.next went through those that wait by worth, so that while any quote-view waits, and at a limit some always do, nothing else goes next; has_room took a further fifth of the limit from it. Now those that wait go by the part of their class's worth that they can still earn, and the limit differs by a tenth.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -29,7 +29,7 @@
 CROWDED = 1.0  # a server holding one call more than this multiple of the mean passes its turn
 FAILURE_POWER = 4.0  # a server that fails half of its calls keeps a sixteenth of its turns
 FAILURE_FLOOR = 0.02  # and one that fails all still sees a call now and then
-WORTH_ORDER = 0.3  # a request worth nothing finds this much less of the limit open to it
+WORTH_ORDER = 0.1  # a request worth nothing finds this much less of the limit open to it
 SPARE_SHARE = 0.5  # of the limit is open to what earns next to nothing: above a share, or past its aim
 SHARE_BURST_MS = 5_000.0  # of its allowance that a tenant may save up: its calls come in clumps
 FLOOR = 3.0  # requests a server, from all balancers together, that may be out before any answer is in
@@ -168,7 +168,7 @@
         self.top_worth = max(cls.worth for cls in settings.classes) or 1.0
         self.floor = 1.0
         self.out = 0  # requests that are out
-        self.waiting: dict[float, dict[str, Request]] = {}  # by worth, the newest last
+        self.waiting: dict[float, dict[str, Request]] = {}  # by standing, the newest last
         self.fade_ms = max(cls.aim_ms for cls in settings.classes)
         self.patience = Average(self.fade_ms)  # the time that each answer should take by its own class
         self.strained = Average(self.fade_ms)  # and that it may take once answers are not in time
@@ -213,16 +213,21 @@
 
     def hold(self, request: Request) -> None:
         request.held = True
-        self.waiting.setdefault(request.worth, {})[request.id] = request
+        self.waiting.setdefault(request.standing(), {})[request.id] = request
 
     def release(self, request: Request) -> None:
         request.held = False
-        del self.waiting[request.worth][request.id]
-        if not self.waiting[request.worth]:
-            del self.waiting[request.worth]
+        standing = request.standing()
+        del self.waiting[standing][request.id]
+        if not self.waiting[standing]:
+            del self.waiting[standing]
 
     def next(self, now: float) -> Request | None:
-        """The newest of those worth most: it has the best chance to be in time."""
+        """The newest of those that can earn most of their worth: it has the best chance to be in time.
+
+        By the worth itself a class that is worth less is starved as long as there are others, and the
+        worst served class counts beside the whole.
+        """
         if not self.waiting:
             return None
         request = next(reversed(self.waiting[max(self.waiting)].values()))
@@ -288,6 +293,10 @@
         self.copied_at = 0  # the attempt that is the backup copy, if any
         self.open = True  # a final answer is owed
 
+    def standing(self) -> float:
+        """How much of its class's worth it can still earn."""
+        return self.worth / self.cls.worth if self.cls.worth else 0.0
+
     def outstanding(self) -> int:
         return sum(not attempt.ended for attempt in self.attempts)
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -395,6 +395,19 @@
     assert refused(overloaded(), 0) < refused(overloaded(), 1)
 
 
+def test_the_cheaper_class_is_not_starved_while_others_wait() -> None:
+    """Days zone+vast, join+vast: 48 to 66% served of price-check, 81 to 87% of quote-view."""
+    dear, cheap = replace(SAFE, worth=5.0), replace(SAFE, worth=2.0)
+    admission = Admission(replace(SETTINGS, classes=(dear, cheap)))
+    admission.floor = 10.0
+    for name, cls, worth in (("dear", dear, 5.0), ("over share", dear, 0.25), ("cheap", cheap, 2.0)):
+        admission.hold(balancer.Request(api.RequestArrived(name, 0, 3000.0), cls, worth, 0.0))
+    order = []
+    while request := admission.next(1.0):
+        order.append(request.id)
+    assert order == ["cheap", "dear", "over share"]
+
+
 def test_a_balancer_with_little_traffic_gets_no_long_queue() -> None:
     """Incident i0c326e: a fixed allowance at each of many balancers filled the servers' queues."""
     checker = started(*servers(9), settings=replace(SETTINGS, balancers=27))
