Say when to come back also where a request is refused for want of room here

A refusal that the transport words itself, for want of descriptors or of open requests, came without Retry-After, so that the clients of a full proxy are back after their own short pause, all proxies' together.

By a test on loopback: 503 and no such header, with the setting on. Ruled out that the module words them: they never reach it.

Proxy.take and ClientConnection._next answered with no headers. Both now say half a second where the settings allow it, in the words that the module's refusals are given.

--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -25,6 +25,7 @@
 READ_S = 2.5
 LOOK_AGAIN_S = 0.05
 REST_S = 2.0  # a connection without a request may be closed after that
+BUSY_PAUSE_MS = 500.0  # a caller refused for want of room here is told to come back after that
 LINGER_S = 1.0  # a caller whose input was bad may go on sending for so long; it is read and dropped
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout",
@@ -78,6 +79,13 @@
     return number
 
 
+def pause_headers(config: NodeConfig, pause_ms: float) -> Headers:
+    """When a refused caller should come back, where the settings allow to say it."""
+    if pause_ms <= 0 or not config.may_advise_pause:
+        return []
+    return [(b"Retry-After", b"%.3f" % (pause_ms / 1000.0))]
+
+
 class RequestReader:
     """What a request says of itself, by its headers; raises BadRequest."""
 
@@ -85,6 +93,7 @@
         self._classes = {name.encode(): place for name, place in config.classes.items()}
         self._effects = [cls.effect for cls in config.settings.classes]
         self._tenants = {name.encode(): place for name, place in config.tenants.items()}
+        self.busy_headers = pause_headers(config, BUSY_PAUSE_MS)
 
     def read(self, request: ClientRequest) -> None:
         headers = {name.lower(): value for name, value in request.headers}
@@ -267,7 +276,7 @@
             elif request.is_up_check:
                 self.answer(200 if self._front.handler.ready else 503, [], b"")
             elif self._front.is_over_limit():
-                self.answer(503, [], b"")
+                self.answer(503, self._front.reader.busy_headers, b"")
             else:
                 self._front.handler.take(self, request)
         if self._transport is not None and not self._is_over():
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -14,7 +14,14 @@
 
 from cometdoor.config import Address, NodeConfig
 from cometdoor.discovery import Discovery, ListReader
-from cometdoor.frontend import PER_HOP, ClientConnection, ClientRequest, Headers
+from cometdoor.frontend import (
+    BUSY_PAUSE_MS,
+    PER_HOP,
+    ClientConnection,
+    ClientRequest,
+    Headers,
+    pause_headers,
+)
 from cometdoor.upstream import Answer, Descriptors, Exchange, Pool
 from jasperhall import Balancer, api
 from jasperhall.api import ListKind, Outcome, State
@@ -200,7 +207,7 @@
 
     def take(self, connection: ClientConnection, message: ClientRequest) -> None:
         if len(self._by_client) >= self._config.max_open:
-            connection.answer(503, [], b"")
+            connection.answer(503, pause_headers(self._config, BUSY_PAUSE_MS), b"")
             return
         self._last_id += 1
         left_ms = message.left_ms
@@ -262,10 +269,7 @@
                 if request is not None and 0 <= action.attempt < len(request.attempts):
                     self._end_attempt(request.attempts[action.attempt], Outcome.CANCELLED)
             case api.Refuse():
-                headers: Headers = []
-                if action.retry_after_ms > 0 and self._config.may_advise_pause:
-                    headers.append((b"Retry-After", b"%.3f" % (action.retry_after_ms / 1000.0)))
-                self._final(action.request, 503, headers)
+                self._final(action.request, 503, pause_headers(self._config, action.retry_after_ms))
             case api.Fail():
                 self._final(action.request, 502, [])
             case api.SetTimer():
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -170,6 +170,21 @@
     run(test)
 
 
+@pytest.mark.parametrize("limits", [{"max_open": 0}, {"retry_after": False, "max_open": 0}, {}])
+def test_a_refusal_for_want_of_room_here_says_when_to_come_back_too(limits: dict[str, int | bool]) -> None:
+    async def test() -> None:
+        rig = await Rig().start(limits={"retry_after": True, **limits})
+        caller: Caller = await rig.caller()
+        if "max_open" not in limits:
+            rig.descriptors.limit = 0
+        caller.ask()
+        answer = await caller.answer()
+        assert answer.status == 503
+        assert answer.headers.get("retry-after") == ("0.500" if limits.get("retry_after", True) else None)
+
+    run(test)
+
+
 @pytest.mark.parametrize("allowed", [True, False])
 def test_a_refusal_says_when_to_come_back_where_that_is_allowed(allowed: bool) -> None:
     async def test() -> None:
