Give operators a door, one life cycle, and the clients' listener by inheritance

Now: the door has its own listener and set-aside descriptors; one state stands behind /up, ready, evacuate, rejoin and SIGTERM; the listener is taken from NODE_INHERITED_FD where it is named, and only the own copy is closed.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -6,12 +6,16 @@
 import gc
 import logging
 import signal
+import socket
 import sys
 
 import uvloop
 
-from cometdoor.config import BadConfig, NodeConfig, load_config
+from cometdoor import control
+from cometdoor.config import BadConfig, NodeConfig, inherited_listener, load_config
+from cometdoor.control import Door, operators_calls
 from cometdoor.frontend import Frontend, RequestReader
+from cometdoor.lifecycle import LifeCycle, Phase
 from cometdoor.proxy import Proxy
 from cometdoor.upstream import Descriptors
 
@@ -20,6 +24,7 @@
 SERVE_ON_S = 0.45
 LISTEN_ON_S = 0.6
 LOOK_EVERY_S = 0.02
+FIRST_REQUEST_S = 0.6  # clients that come while they are sent away have so long for their first request
 # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
 LONGEST_WAIT_S, KILL_AFTER_S = 3.0, 0.7
 BEFORE_KILL_S = 0.15  # so much sooner is what is still out failed
@@ -36,20 +41,62 @@
         log.error("the configuration is kept as it was: %s", problem)
 
 
-async def serve(config: NodeConfig, stopping: asyncio.Event) -> None:
+class Evacuation:
+    """Ends clients' connections while they are sent away: with the next answer, or idle."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, front: Frontend, life: LifeCycle) -> None:
+        self._loop = loop
+        self._front = front
+        self._life = life
+        self._look: asyncio.TimerHandle | None = None
+        life.changed = self._changed
+
+    def _changed(self, phase: Phase) -> None:
+        if phase is Phase.EVACUATING:
+            self._front.closing = True
+            self._close_idle()
+        elif phase is not Phase.LEAVING:
+            self._front.closing = False
+
+    def _close_idle(self) -> None:
+        if self._look is not None:
+            self._look.cancel()
+        if self._life.phase is Phase.EVACUATING:
+            self._front.close_idle(FIRST_REQUEST_S)
+            self._look = self._loop.call_later(LOOK_EVERY_S, self._close_idle)
+
+
+async def serve(config: NodeConfig, listener: socket.socket | None, stopping: asyncio.Event) -> None:
     loop = asyncio.get_running_loop()
-    descriptors = Descriptors(config.sockets)
-    proxy = Proxy(config, loop, descriptors)
+    life = LifeCycle()
+    door = Door(loop, operators_calls(life))
+    descriptors = Descriptors(config.sockets, control.DESCRIPTORS if config.control else 0)
+    proxy = Proxy(config, loop, descriptors, life)
     loop.add_signal_handler(signal.SIGHUP, reload, proxy)
-    front = Frontend(loop, RequestReader(config), descriptors, proxy)
-    await front.listen(*config.listen)
+    front = Frontend(loop, RequestReader(config), descriptors, proxy, life)
+    Evacuation(loop, front, life)
+    if config.control:
+        await door.listen(*config.control)
+    if listener is not None:
+        await front.listen_on(listener)
+    else:
+        await front.listen(*config.listen)
     proxy.start()
     # Guards against long collector pauses: what the start made stays for good, and little else is cyclic.
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
-    log.info("%s serves on %s:%d", config.name, *config.listen)
+    log.info("%s serves on %s:%d", config.name, *front.address())
     await stopping.wait()
+    life.leave()
+    await leave(config, proxy, front, life)
+    door.close()
+    proxy.stop()
+
+
+async def leave(config: NodeConfig, proxy: Proxy, front: Frontend, life: LifeCycle) -> None:
+    """Answer all that was taken, and end each connection between two requests."""
+    loop = asyncio.get_running_loop()
     longest_s = max(cls.deadline_ms for cls in config.settings.classes) / 1000.0
     last_word_at = loop.time() + min(longest_s, LONGEST_WAIT_S) + KILL_AFTER_S - BEFORE_KILL_S
     await asyncio.sleep(SERVE_ON_S)
@@ -66,14 +113,13 @@
                 proxy.fail_all()
         front.close_idle()
         await asyncio.sleep(LOOK_EVERY_S)
-    proxy.stop()
 
 
-async def run(config: NodeConfig) -> None:
+async def run(config: NodeConfig, listener: socket.socket | None) -> None:
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopping.set)
-    await serve(config, stopping)
+    await serve(config, listener, stopping)
 
 
 def main() -> int:
@@ -81,11 +127,12 @@
                         format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         config = load_config()
+        listener = inherited_listener()
     except BadConfig as problem:
         print(f"cometdoor: bad configuration: {problem}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(run(config))
+        uvloop.run(run(config, listener))
     except OSError as problem:
         print(f"cometdoor: {problem}", file=sys.stderr)
         return 1
--- a/cometdoor/config.py
+++ b/cometdoor/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -24,6 +25,7 @@
 class NodeConfig:
     name: str
     listen: Address
+    control: Address | None  # the operators' door, where there is one
     discovery: Address
     seed: int
     settings: api.Settings
@@ -53,9 +55,11 @@
     limits, report = part(info, "limits", {}), part(info, "report", {})
     seed = raw["seed"]
     settings = read_settings(info)
+    control = raw.get("control") or environment.get("NODE_CONTROL")
     return NodeConfig(
         name=str(raw.get("name") or environment.get("NODE_NAME", "")),
         listen=read_address(raw.get("listen") or environment["NODE_LISTEN"]),
+        control=read_address(control) if control else None,
         discovery=read_address(raw.get("discovery") or environment["NODE_DISCOVERY"]),
         seed=seed if isinstance(seed, int) else int(seed, 16),
         settings=settings,
@@ -73,6 +77,27 @@
     )
 
 
+def inherited_listener(environment: Mapping[str, str] = os.environ) -> socket.socket | None:
+    """The clients' listening socket, where the platform holds it and hands it down."""
+    text = environment.get("NODE_INHERITED_FD")
+    if not text:
+        return None
+    if not text.isdecimal():
+        raise BadConfig(f"NODE_INHERITED_FD: {text!r} is no descriptor's number")
+    try:
+        listener = socket.socket(fileno=int(text))
+    except (OSError, OverflowError) as problem:
+        raise BadConfig(f"NODE_INHERITED_FD: descriptor {text} is no open socket: {problem}") from problem
+    try:
+        is_tcp = listener.family in (socket.AF_INET, socket.AF_INET6) and listener.type == socket.SOCK_STREAM
+        if not is_tcp or not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise BadConfig(f"NODE_INHERITED_FD: descriptor {text} is no listening TCP socket")
+    except BadConfig:
+        listener.detach()  # it is not ours to close
+        raise
+    return listener
+
+
 def load_config(environment: Mapping[str, str] = os.environ) -> NodeConfig:
     path = environment.get("NODE_CONFIG")
     if not path:
--- /dev/null
+++ b/cometdoor/control.py
@@ -0,0 +1,153 @@
+"""The operators' door: a listener of its own, one call to a connection.
+
+Its descriptors are set aside, and neither load nor callers that hold on may starve it: there are few
+connections, each for a short time, and a new one ends the oldest that has sent no whole call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+import httptools
+
+from cometdoor.config import Address
+from cometdoor.lifecycle import LifeCycle
+
+MAX_OPEN = 16
+DESCRIPTORS = MAX_OPEN + 4  # set aside: the listener, and connections that are just closing
+MAX_CALL = 16 * 1024  # bytes of a call, body and all
+CALL_S = 2.0  # a caller has so long to send its call
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+           408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large", 503: b"Service Unavailable"}
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    method: bytes
+    run: Callable[[], tuple[int, str]]
+
+
+def operators_calls(life: LifeCycle) -> dict[bytes, Call]:
+    def ready() -> tuple[int, str]:
+        return (200 if life.takes_clients() else 503), life.phase.value
+
+    def order(carry_out: Callable[[], bool]) -> Callable[[], tuple[int, str]]:
+        def run() -> tuple[int, str]:
+            done = carry_out()
+            return (200 if done else 409), life.phase.value
+
+        return run
+
+    return {b"/api/ready": Call(b"GET", ready),
+            b"/api/evacuate": Call(b"POST", order(life.evacuate)),
+            b"/api/rejoin": Call(b"POST", order(life.rejoin))}
+
+
+class Caller(asyncio.Protocol):
+    def __init__(self, door: Door) -> None:
+        self._door = door
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = bytearray()
+        self._size = 0
+        self._whole = False
+        self._answered = False
+        self._timer = door.loop.call_later(CALL_S, self._too_slow)
+        self.since = door.loop.time()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._door.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._answered:
+            return
+        self._size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._answer(400, "malformed")
+            return
+        if self._size > MAX_CALL:
+            self._answer(413, "too large")
+        elif self._whole:
+            self._run()
+
+    def on_url(self, url: bytes) -> None:
+        if not self._whole:
+            self._target += url
+
+    def on_message_complete(self) -> None:
+        self._whole = True
+
+    def _run(self) -> None:
+        call = self._door.calls.get(bytes(self._target).split(b"?", 1)[0])
+        if call is None:
+            self._answer(404, "unknown path")
+        elif self._parser.get_method() != call.method:
+            self._answer(405, "wrong method", b"Allow: %s\r\n" % call.method)
+        else:
+            self._answer(*call.run())
+
+    def _too_slow(self) -> None:
+        if self._answered or not self._size:
+            self.end()
+        else:
+            self._answer(408, "the call did not come in time")
+
+    def _answer(self, status: int, text: str, header: bytes = b"") -> None:
+        self._answered = True
+        body = text.encode() + b"\n"
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(
+                b"HTTP/1.1 %d %s\r\n%sContent-Type: text/plain\r\nContent-Length: %d\r\n"
+                b"Connection: close\r\n\r\n%s" % (status, REASONS[status], header, len(body), body))
+            # Its end is read before ours: a reset must not overtake the answer. The timer is the limit.
+            self._transport.write_eof()
+
+    def eof_received(self) -> None:
+        self.end()
+
+    def connection_lost(self, problem: Exception | None) -> None:
+        self._timer.cancel()
+        self._door.closed(self)
+        del self._parser  # it holds the connection in turn
+
+    def end(self) -> None:
+        if self._transport is not None:
+            self._transport.abort() if not self._answered else self._transport.close()
+
+
+@dataclass
+class Door:
+    loop: asyncio.AbstractEventLoop
+    calls: dict[bytes, Call]
+    _callers: dict[Caller, None] = field(default_factory=dict)  # the oldest first
+    _server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        self._server = await self.loop.create_server(
+            lambda: Caller(self), host, port, backlog=128, reuse_address=True)
+
+    def address(self) -> Address:
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return host, port
+
+    def opened(self, caller: Caller) -> None:
+        self._callers[caller] = None
+        if len(self._callers) > MAX_OPEN:
+            next(iter(self._callers)).end()
+
+    def closed(self, caller: Caller) -> None:
+        self._callers.pop(caller, None)
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for caller in list(self._callers):
+            caller.end()
--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -15,10 +15,12 @@
 import httptools
 
 from cometdoor.config import Address, NodeConfig
+from cometdoor.lifecycle import LifeCycle
 from cometdoor.upstream import Descriptors
 from jasperhall.api import Effect
 
 MAX_BODY = MAX_HEAD = 64 * 1024
+BACKLOG = 1024
 MAX_AHEAD = 4  # requests read ahead on one connection, before reading from it pauses
 # From a request's first byte to its last, and from connecting to the first request's last: a peer that sends
 # nothing proper is owed an error or a close within 3 s.
@@ -63,8 +65,6 @@
 
 
 class Handler(Protocol):
-    ready: bool
-
     def make_room(self) -> bool: ...
 
     def take(self, connection: ClientConnection, request: ClientRequest) -> None: ...
@@ -274,7 +274,7 @@
             if request.bad is not None:
                 self.answer(request.bad.status, [], str(request.bad).encode())
             elif request.is_up_check:
-                self.answer(200 if self._front.handler.ready else 503, [], b"")
+                self.answer(200 if self._front.life.is_up() else 503, [], b"")
             elif self._front.is_over_limit():
                 self.answer(503, self._front.reader.busy_headers, b"")
             else:
@@ -353,6 +353,7 @@
     reader: RequestReader
     descriptors: Descriptors
     handler: Handler
+    life: LifeCycle
     closing: bool = False  # answers end their connections
     connections: dict[ClientConnection, None] = field(default_factory=dict)  # the longest at rest first
     _server: asyncio.Server | None = None
@@ -362,7 +363,12 @@
 
     async def listen(self, host: str, port: int) -> None:
         self._server = await self.loop.create_server(
-            lambda: ClientConnection(self), host, port, backlog=1024, reuse_address=True)
+            lambda: ClientConnection(self), host, port, backlog=BACKLOG, reuse_address=True)
+
+    async def listen_on(self, listener: socket.socket) -> None:
+        """On a listener that others hold too: only this copy is ever closed."""
+        self._server = await self.loop.create_server(
+            lambda: ClientConnection(self), sock=listener, backlog=BACKLOG)
 
     def address(self) -> Address:
         assert self._server is not None
@@ -374,9 +380,11 @@
             self._server.close()
             self._server = None
 
-    def close_idle(self) -> None:
+    def close_idle(self, patience_s: float = 0.0) -> None:
+        """One that has yet to send its first request is given some time for it."""
+        until = self.loop.time() - patience_s
         for connection in list(self.connections):
-            if connection.is_idle():
+            if not (connection.is_new and connection.rests_since > until) and connection.is_idle():
                 connection.close()
 
     def opened(self, connection: ClientConnection) -> None:
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -22,6 +22,7 @@
     Headers,
     pause_headers,
 )
+from cometdoor.lifecycle import LifeCycle
 from cometdoor.upstream import Answer, Descriptors, Exchange, Pool
 from jasperhall import Balancer, api
 from jasperhall.api import ListKind, Outcome, State
@@ -123,8 +124,9 @@
 
 
 class Proxy:
-    def __init__(self, config: NodeConfig, loop: asyncio.AbstractEventLoop, descriptors: Descriptors) -> None:
-        self.ready = False
+    def __init__(self, config: NodeConfig, loop: asyncio.AbstractEventLoop, descriptors: Descriptors,
+                 life: LifeCycle) -> None:
+        self._life = life
         self._config = config
         self._loop = loop
         self._balancer = Balancer(config.settings, config.seed)
@@ -135,7 +137,7 @@
         self._started_at: dict[str, float] = {}
         self._last_id = 0
         self._events: deque[api.Event] = deque()
-        self._handling = False
+        self._handling = self._started = False
         self._unserved = UnservedLog()
         reader = ListReader(config.zones, config.kinds)
         self._discovery = Discovery(
@@ -145,6 +147,10 @@
         self._list_changed(api.ListChanged(ListKind.CACHED, tuple(servers)), addresses)
 
     def start(self) -> None:
+        """Once clients can come."""
+        self._started = True
+        if self._addresses:
+            self._life.able()
         self._discovery.start()
 
     def stop(self) -> None:
@@ -197,8 +203,9 @@
                 else:
                     self._addresses[name] = addresses[name]
                     self._started_at[name] = server.started_at
-            self.ready = self.ready or bool(self._addresses)
         self._dispatch(event)
+        if self._started and self._addresses:
+            self._life.able()
 
     def _forget_server(self, name: str) -> None:
         self._pool.close_idle(name)
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -48,8 +48,8 @@
 
     RESERVE = 32  # standard streams, the loop's own, discovery, and sockets that are just closing
 
-    def __init__(self, limit: int) -> None:
-        self.limit = max(limit - self.RESERVE, 1)
+    def __init__(self, limit: int, set_aside: int = 0) -> None:
+        self.limit = max(limit - self.RESERVE - set_aside, 1)
         self.used = 0
         self.make_room: Callable[[], bool] = lambda: False  # ends a caller's connection that is at rest
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,6 +14,7 @@
 
 from cometdoor.config import read_config
 from cometdoor.frontend import Frontend, RequestReader
+from cometdoor.lifecycle import LifeCycle
 from cometdoor.proxy import Proxy
 from cometdoor.upstream import Descriptors
 from jasperhall import api
@@ -205,6 +206,7 @@
         self.front: Frontend
         self.proxy: Proxy
         self.descriptors: Descriptors
+        self.life: LifeCycle
 
     async def start(self, *members: dict[str, Any], discovery: str = "127.0.0.1:1", sockets: int = 1024,
                     asked: bool = False, **settings: Any) -> Rig:
@@ -212,8 +214,9 @@
         config = read_config(make_config("127.0.0.1:1", discovery, *members, sockets=sockets, **settings), {})
         loop = asyncio.get_running_loop()
         self.descriptors = Descriptors(config.sockets)
-        self.proxy = Proxy(config, loop, self.descriptors)
-        self.front = Frontend(loop, RequestReader(config), self.descriptors, self.proxy)
+        self.life = LifeCycle()
+        self.proxy = Proxy(config, loop, self.descriptors, self.life)
+        self.front = Frontend(loop, RequestReader(config), self.descriptors, self.proxy, self.life)
         await self.front.listen("127.0.0.1", 0)
         self.proxy.start()
         return self
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,260 @@
+"""The operators' door, and what its calls do to clients."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from unittest import mock
+
+import pytest
+
+from cometdoor import control
+from cometdoor.__main__ import Evacuation
+from cometdoor.control import Door, operators_calls
+from cometdoor.lifecycle import LifeCycle, Phase
+from tests.rig import Caller, FakeServer, Message, Rig, make_config, member, run
+from tests.test_process import ROOT, free_port, until_serving
+
+UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def open_door(life: LifeCycle) -> Door:
+    door = Door(asyncio.get_running_loop(), operators_calls(life))
+    await door.listen("127.0.0.1", 0)
+    return door
+
+
+async def call(door: Door | tuple[str, int], start: str, *lines: str, body: bytes = b"") -> Message:
+    address = door.address() if isinstance(door, Door) else door
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write("\r\n".join([f"{start} HTTP/1.1", "Host: x", *lines, "", ""]).encode() + body)
+    answer = await Message.read(reader)
+    assert await reader.read() == b""  # one call to a connection
+    writer.close()
+    return answer
+
+
+def test_calls_go_by_one_state_and_may_be_repeated() -> None:
+    async def test() -> None:
+        life = LifeCycle()
+        door = await open_door(life)
+
+        async def status(start: str) -> int:
+            return (await call(door, start)).status
+
+        assert await status("GET /api/ready") == 503
+        life.able()
+        assert await status("GET /api/ready") == 200
+        for _ in range(2):
+            assert await status("POST /api/evacuate") == 200
+            assert (str(life.phase.value), life.is_up()) == ("evacuating", False)
+            assert await status("GET /api/ready") == 503
+        for _ in range(2):
+            assert await status("POST /api/rejoin") == 200
+            assert (str(life.phase.value), life.is_up()) == ("serving", True)
+        await status("POST /api/evacuate")
+        life.leave()
+        assert await status("POST /api/evacuate") == 200
+        assert await status("POST /api/rejoin") == 409
+        assert (str(life.phase.value), life.is_up()) == ("leaving", False)
+
+    run(test)
+
+
+def test_a_proxy_sent_away_before_it_is_able_comes_back_only_when_it_is() -> None:
+    life = LifeCycle()
+    seen: list[Phase] = []
+    life.changed = seen.append
+    life.evacuate()
+    life.able()
+    life.rejoin()
+    assert seen == [Phase.EVACUATING, Phase.SERVING]
+    other = LifeCycle()
+    other.evacuate()
+    other.rejoin()
+    assert (other.phase, other.is_up()) == (Phase.STARTING, False)
+
+
+@pytest.mark.parametrize(("start", "lines", "body", "status"), [
+    ("GET /api/nothing", (), b"", 404), ("POST /api/ready", ("Content-Length: 0",), b"", 405),
+    ("GET /api/evacuate", (), b"", 405), ("GET", (), b"", 400),
+    ("POST /api/evacuate", ("Content-Length: 1", "Content-Length: 2"), b"x", 400),
+    ("POST /api/evacuate", ("Content-Length: 100000",), b"x" * 100_000, 413),
+    ("GET /api/ready", ("X-Much: " + "x" * 40_000,), b"", 413)])
+def test_a_wrong_call_is_told_so_and_changes_nothing(start: str, lines: tuple[str, ...], body: bytes,
+                                                     status: int) -> None:
+    async def test() -> None:
+        life = LifeCycle()
+        life.able()
+        door = await open_door(life)
+        assert (await call(door, start, *lines, body=body)).status == status
+        assert life.phase is Phase.SERVING
+
+    run(test)
+
+
+def test_a_call_in_pieces_with_a_body_is_one_call() -> None:
+    async def test() -> None:
+        life = LifeCycle()
+        life.able()
+        door = await open_door(life)
+        reader, writer = await asyncio.open_connection(*door.address())
+        for byte in b"POST /api/evacuate HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}":
+            assert life.phase is Phase.SERVING
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0)
+        assert (await Message.read(reader)).status == 200
+        assert life.phase is Phase.EVACUATING
+
+    run(test)
+
+
+def test_callers_that_hold_on_do_not_shut_others_out() -> None:
+    async def test() -> None:
+        life = LifeCycle()
+        life.able()
+        door = await open_door(life)
+        holding = []
+        for number in range(2 * control.MAX_OPEN):
+            holding.append(await asyncio.open_connection(*door.address()))
+            holding[-1][1].write(b"" if number % 2 else b"POST /api/evac")
+        for _ in range(3):
+            assert (await call(door, "GET /api/ready")).status == 200
+        assert len(door._callers) <= control.MAX_OPEN
+
+    run(test)
+
+
+def test_a_caller_without_a_whole_call_is_ended_in_time() -> None:
+    async def test() -> None:
+        with mock.patch("cometdoor.control.CALL_S", 0.05):
+            door = await open_door(LifeCycle())
+            reader, writer = await asyncio.open_connection(*door.address())
+            writer.write(b"GET /api/re")
+            assert (await Message.read(reader)).status == 408
+            silent, _ = await asyncio.open_connection(*door.address())
+            assert await silent.read() == b""
+
+    run(test)
+
+
+def test_evacuating_ends_connections_and_serves_who_still_comes() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        rig = await Rig().start(member("s1", backend.address))
+        with mock.patch("cometdoor.__main__.FIRST_REQUEST_S", 0.2):
+            Evacuation(asyncio.get_running_loop(), rig.front, rig.life)
+            idle, busy, new = await rig.caller(), await rig.caller(), await rig.caller()
+            idle.writer.write(UP)
+            assert (await idle.answer()).status == 200
+            busy.ask()
+            held = await backend.next()
+            rig.life.evacuate()
+            assert await idle.ended()
+            held.reply(200, b"held")
+            answer = await busy.answer()
+            assert (answer.body, answer.headers["connection"]) == (b"held", "close")
+            new.ask()
+            (await backend.next()).reply(200, b"served")
+            answer = await new.answer()
+            assert (answer.body, answer.headers["connection"]) == (b"served", "close")
+            late = await rig.caller()
+            late.writer.write(UP)
+            assert (await late.answer()).status == 503
+            assert await (await rig.caller()).ended()  # it came and asked nothing
+            rig.life.rejoin()
+            back = await rig.caller()
+            for _ in range(2):
+                back.writer.write(UP)
+                answer = await back.answer()
+                assert (answer.status, "connection" in answer.headers) == (200, False)
+
+    run(test)
+
+
+def test_without_control_there_is_no_door() -> None:
+    config = make_config("127.0.0.1:1", "127.0.0.1:1")
+    from cometdoor.config import read_config
+    assert read_config(config, {}).control is None
+    assert read_config(config, {"NODE_CONTROL": "127.0.0.1:7"}).control == ("127.0.0.1", 7)
+    assert read_config({**config, "control": "127.0.0.1:8"}, {}).control == ("127.0.0.1", 8)
+
+
+async def launch(config: dict[str, object], folder: Path, *fds: int, **variables: str,
+                 ) -> asyncio.subprocess.Process:
+    path = folder / "config.json"
+    path.write_text(json.dumps(config))
+    environment = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "cometdoor", cwd=ROOT, stderr=asyncio.subprocess.PIPE, pass_fds=fds,
+        env={**environment, "NODE_CONFIG": str(path), **variables})
+
+
+def test_a_control_address_that_is_malformed_or_taken_ends_the_start(tmp_path: Path) -> None:
+    async def test() -> None:
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            for control_at in ("nowhere", f"127.0.0.1:{taken.getsockname()[1]}"):
+                config = make_config(f"127.0.0.1:{free_port()}", "127.0.0.1:1")
+                process = await launch({**config, "control": control_at}, tmp_path)
+                _, errors = await process.communicate()
+                assert process.returncode in (1, 2)
+                assert errors.splitlines()[-1].startswith(b"cometdoor: ")
+                assert b"Traceback" not in errors
+
+    run(test)
+
+
+@pytest.mark.parametrize("value", ["seven", "-1", "99999", "99999999999999999999", "pipe", "plain"])
+def test_a_descriptor_that_is_no_listening_tcp_socket_ends_the_start(value: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        read_end, write_end = os.pipe()
+        with socket.socket() as plain:
+            number = {"pipe": str(read_end), "plain": str(plain.fileno())}.get(value, value)
+            process = await launch(make_config(f"127.0.0.1:{free_port()}", "127.0.0.1:1"), tmp_path,
+                                   read_end, plain.fileno(), NODE_INHERITED_FD=number)
+            _, errors = await process.communicate()
+        os.close(read_end)
+        os.close(write_end)
+        assert process.returncode == 2
+        assert errors.splitlines()[-1].startswith(b"cometdoor: bad configuration: NODE_INHERITED_FD")
+        assert b"Traceback" not in errors
+
+    run(test)
+
+
+def test_two_processes_take_clients_from_one_listener_and_the_old_leaves_it_open(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(64)
+            address = listener.getsockname()
+            processes, doors = [], []
+            for _ in range(2):
+                doors.append(("127.0.0.1", free_port()))
+                config = make_config("{}:{}".format(*address), "127.0.0.1:1", member("s1", backend.address),
+                                     group_size=1)
+                processes.append(await launch({**config, "control": "{}:{}".format(*doors[-1])}, tmp_path,
+                                              listener.fileno(), NODE_INHERITED_FD=str(listener.fileno())))
+                await until_serving(processes[-1])
+                assert (await call(doors[-1], "GET /api/ready")).status == 200
+            old, new = processes
+            old.send_signal(signal.SIGTERM)
+            assert await old.wait() == 0
+            for _ in range(3):
+                caller = Caller(*await asyncio.open_connection(*address))
+                caller.ask()
+                (await backend.next()).reply(200, b"new")
+                assert (await caller.answer()).body == b"new"
+            assert (await call(doors[1], "GET /api/ready")).status == 200
+            new.send_signal(signal.SIGTERM)
+            assert await new.wait() == 0
+
+    run(test)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -127,7 +127,7 @@
         call = await discovery.next()
         call.open_stream()
         call.send_list(1, True, member("s1", backend.address))
-        while not rig.proxy.ready:
+        while not rig.life.is_up():
             await asyncio.sleep(0)
         caller.writer.write(head("GET /up HTTP/1.1", "Host: x"))
         assert (await caller.answer()).status == 200
