Pass long bodies on while they come, in both directions and in all forms of HTTP/1.1

Answers over 64 KiB were cut off as no answer, bodies over 64 KiB got 413, a request had 2.5 s from its first byte to its last. Ruled out: the backends' answers (no attempt), the limits (215 of 1024).

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -14,6 +14,7 @@
 from cometdoor import control
 from cometdoor.config import BadConfig, NodeConfig, inherited_listener, load_config
 from cometdoor.control import Door, operators_calls
+from cometdoor.flow import Budget
 from cometdoor.frontend import Frontend, RequestReader
 from cometdoor.lifecycle import LifeCycle, Phase
 from cometdoor.proxy import Proxy
@@ -71,9 +72,10 @@
     life = LifeCycle()
     door = Door(loop, operators_calls(life))
     descriptors = Descriptors(config.sockets, control.DESCRIPTORS if config.control else 0)
-    proxy = Proxy(config, loop, descriptors, life)
+    budget = Budget(config.memory_mb)
+    proxy = Proxy(config, loop, descriptors, budget, life)
     loop.add_signal_handler(signal.SIGHUP, reload, proxy)
-    front = Frontend(loop, RequestReader(config), descriptors, proxy, life)
+    front = Frontend(loop, RequestReader(config), descriptors, budget, proxy, life)
     Evacuation(loop, front, life)
     if config.control:
         await door.listen(*config.control)
--- a/cometdoor/config.py
+++ b/cometdoor/config.py
@@ -36,6 +36,7 @@
     load_fields: tuple[str, ...]  # of load reports that come with answers; none where they don't
     known: dict[str, Any]  # the list of backends as this proxy last had it, in discovery's form
     sockets: int
+    memory_mb: float
     max_open: int
     idle_close_ms: float
     connect_timeout_ms: float
@@ -70,6 +71,7 @@
         load_fields=tuple(part(report, "columns", ())) if report.get("how") == "inline" else (),
         known=part(raw, "known", {}),
         sockets=int(part(part(raw, "limits", {}), "sockets", 1024)),
+        memory_mb=float(part(part(raw, "limits", {}), "memory_mb", 64.0)),
         max_open=int(part(limits, "max_open", 20_000)),
         idle_close_ms=float(part(limits, "idle_close_ms", 15_000.0)),
         connect_timeout_ms=float(part(limits, "connect_timeout_ms", 250.0)),
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -8,12 +8,14 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import deque
 from collections.abc import Callable
 
 from cometdoor.config import Address, NodeConfig
 from cometdoor.discovery import Discovery, ListReader
+from cometdoor.flow import Budget
 from cometdoor.frontend import (
     BUSY_PAUSE_MS,
     PER_HOP,
@@ -23,7 +25,7 @@
     pause_headers,
 )
 from cometdoor.lifecycle import LifeCycle
-from cometdoor.upstream import Answer, Descriptors, Exchange, Pool
+from cometdoor.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source
 from jasperhall import Balancer, api
 from jasperhall.api import ListKind, Outcome, State
 
@@ -43,7 +45,7 @@
 
 
 class LiveRequest:
-    __slots__ = ("attempts", "client", "id", "message", "timer", "until")
+    __slots__ = ("attempts", "client", "id", "message", "owner", "timer", "until")
 
     def __init__(self, id: str, client: ClientConnection, message: ClientRequest, until: float) -> None:
         self.id = id
@@ -52,6 +54,7 @@
         self.until = until  # when its attempts are over at the latest
         self.attempts: list[Attempt] = []
         self.timer: Timer | None = None  # for the host's own last word
+        self.owner: Attempt | None = None  # whose long answer is on its way to the client
 
     def is_over(self) -> bool:
         return self.client is None and all(attempt.ended for attempt in self.attempts)
@@ -125,12 +128,12 @@
 
 class Proxy:
     def __init__(self, config: NodeConfig, loop: asyncio.AbstractEventLoop, descriptors: Descriptors,
-                 life: LifeCycle) -> None:
+                 budget: Budget, life: LifeCycle) -> None:
         self._life = life
         self._config = config
         self._loop = loop
         self._balancer = Balancer(config.settings, config.seed)
-        self._pool = Pool(loop, descriptors, config.idle_close_ms, config.connect_timeout_ms)
+        self._pool = Pool(loop, descriptors, budget, config.idle_close_ms, config.connect_timeout_ms)
         self._requests: dict[str, LiveRequest] = {}
         self._by_client: dict[ClientConnection, LiveRequest] = {}
         self._addresses: dict[str, Address] = {}
@@ -217,15 +220,41 @@
             connection.answer(503, pause_headers(self._config, BUSY_PAUSE_MS), b"")
             return
         self._last_id += 1
-        left_ms = message.left_ms
-        margin = min(MARGIN_MS, MARGIN_SHARE * left_ms)
-        until = message.arrived_at * 1000.0 + left_ms - margin
-        request = LiveRequest(str(self._last_id), connection, message, until)
+        request = LiveRequest(str(self._last_id), connection, message, math.inf)
         self._requests[request.id] = self._by_client[connection] = request
-        request.timer = Timer(self._loop, until + margin * LAST_WORD, lambda: self._out_of_time(request))
+        left_ms = message.left_ms
+        is_coming = message.is_coming()
+        if not is_coming:
+            self._set_until(request)
+            left_ms = max(request.until - now_ms(), 0.0)
+        if message.inflow is not None:
+            message.inflow.on_gone = lambda: self._dispatch(api.BodyGone(request.id))
         self._dispatch(api.RequestArrived(
-            request.id, message.class_index, max(until - now_ms(), 0.0), message.tenant, message.cost_ms,
-            message.is_retry))
+            request.id, message.class_index, left_ms, message.tenant, message.cost_ms, message.is_retry,
+            is_coming))
+
+    def _set_until(self, request: LiveRequest) -> None:
+        """From the last byte on the request's time runs."""
+        left_ms = request.message.left_ms
+        margin = min(MARGIN_MS, MARGIN_SHARE * left_ms)
+        request.until = request.message.arrived_at * 1000.0 + left_ms - margin
+        request.timer = Timer(
+            self._loop, request.until + margin * LAST_WORD, lambda: self._out_of_time(request))
+
+    def body_ended(self, connection: ClientConnection) -> None:
+        request = self._by_client.get(connection)
+        if request is None or request.owner is not None:
+            return
+        self._set_until(request)
+        for attempt in request.attempts:
+            if not attempt.ended:
+                self._limit(attempt, request.until)
+        self._dispatch(api.BodyEnded(request.id, max(request.until - now_ms(), 0.0)))
+
+    def _limit(self, attempt: Attempt, until: float) -> None:
+        attempt.until = until
+        if until < math.inf:
+            attempt.timer = Timer(self._loop, until, lambda: self._timed_out(attempt))
 
     def client_gone(self, connection: ClientConnection) -> None:
         request = self._by_client.pop(connection, None)
@@ -233,11 +262,13 @@
             request.client = None
             self._stop_timer(request)
             self._dispatch(api.ClientGone(request.id))
+            if request.owner is not None:
+                self._end_attempt(request.owner, Outcome.CANCELLED)
             self._clean_up(request)
 
     def _out_of_time(self, request: LiveRequest) -> None:
         """Guards against a request that the module is silent about: its client gets an answer in time."""
-        if request.client is not None:
+        if request.client is not None and request.owner is None:
             self._answer(request, 502, [], b"")
             self._dispatch(api.ClientGone(request.id))
             self._clean_up(request)
@@ -262,7 +293,8 @@
             return
         self._answer(request, 502, [], b"")
         for attempt in request.attempts:
-            self._end_attempt(attempt, Outcome.CANCELLED)
+            if attempt is not request.owner:
+                self._end_attempt(attempt, Outcome.CANCELLED)
         self._clean_up(request)
 
     # --- actions out ---
@@ -273,7 +305,8 @@
                 self._send(action)
             case api.Cancel():
                 request = self._requests.get(action.request)
-                if request is not None and 0 <= action.attempt < len(request.attempts):
+                if (request is not None and 0 <= action.attempt < len(request.attempts)
+                        and request.attempts[action.attempt] is not request.owner):
                     self._end_attempt(request.attempts[action.attempt], Outcome.CANCELLED)
             case api.Refuse():
                 self._final(action.request, 503, pause_headers(self._config, action.retry_after_ms))
@@ -294,10 +327,10 @@
             self._clean_up(request)
 
     def _answer(self, request: LiveRequest, status: int, headers: Headers, body: bytes) -> None:
-        client, request.client = request.client, None
+        if request.owner is not None:
+            return  # its answer is on its way
+        client = self._leave_client(request)
         if client is not None:
-            self._stop_timer(request)
-            del self._by_client[client]
             if status != 200:
                 self._unserved.write(request, status)
             client.answer(status, headers, body)
@@ -307,10 +340,12 @@
         if request is None:
             return
         now = now_ms()
-        until = min(request.until, now + action.timeout_ms) if action.timeout_ms > 0 else request.until
+        until = request.until
+        if action.timeout_ms > 0 and not request.message.is_coming():
+            until = min(until, now + action.timeout_ms)
         attempt = Attempt(request, len(request.attempts), action.server, now, until)
         request.attempts.append(attempt)
-        if (request.client is None or now >= until
+        if (request.client is None or request.owner is not None or now >= until
                 or len(request.attempts) > self._config.settings.max_attempts):
             self._end_attempt(attempt, Outcome.MOOT)
             return
@@ -320,8 +355,10 @@
             return
         attempt.exchange = Exchange(
             lambda: self._payload(request.message, attempt.until),
-            lambda outcome, answer: self._attempt_done(attempt, outcome, answer))
-        attempt.timer = Timer(self._loop, until, lambda: self._timed_out(attempt))
+            lambda outcome, answer: self._attempt_done(attempt, outcome, answer),
+            lambda headers, length, source: self._answer_begins(attempt, headers, length, source),
+            request.message.inflow)
+        self._limit(attempt, until)
         if not self._pool.send(action.server, address, attempt.exchange):
             log.warning("no descriptor is left for a connection to %s", action.server)
             self._end_attempt(attempt, Outcome.CONNECT_FAILED)
@@ -330,8 +367,14 @@
     def _payload(message: ClientRequest, until: float) -> bytes:
         lines = [b"%s %s HTTP/1.1\r\n" % (message.method, message.target)]
         lines += [b"%s: %s\r\n" % header for header in message.headers if header[0].lower() not in PER_HOP]
-        lines.append(b"X-Expires-In: %.4f\r\n" % (max(until - now_ms(), 0.1) / 1000.0))
-        if message.body or message.method != b"GET":
+        # While a body is still coming, the time has yet to begin.
+        left_ms = message.left_ms if message.is_coming() else until - now_ms()
+        lines.append(b"X-Expires-In: %.4f\r\n" % (max(left_ms, 0.1) / 1000.0))
+        if message.inflow is not None:
+            length = message.inflow.length
+            lines.append(b"Transfer-Encoding: chunked\r\n" if length is None else
+                         b"Content-Length: %d\r\n" % length)
+        elif message.body or message.method != b"GET":
             lines.append(b"Content-Length: %d\r\n" % len(message.body))
         lines.append(b"\r\n")
         lines.append(message.body)
@@ -346,10 +389,41 @@
 
     def _attempt_done(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
         request = attempt.request
-        if outcome is Outcome.OK and answer is not None and not attempt.ended:
+        if attempt is request.owner:
+            client = self._leave_client(request)
+            if client is not None and outcome is Outcome.OK:
+                client.end_answer()
+            elif client is not None:
+                log.info("%s: the answer of %s broke midway: %s", request.message.trace_id, attempt.server,
+                         outcome.value)
+                client.break_answer()
+        elif outcome is Outcome.OK and answer is not None and not attempt.ended and request.owner is None:
             self._answer(request, 200, answer.headers, answer.body)
         self._end_attempt(attempt, outcome)
 
+    def _answer_begins(self, attempt: Attempt, headers: Headers, length: int | None,
+                       source: Source) -> Sink | None:
+        """The first bytes of a long answer are here: from now on it is the client's."""
+        request = attempt.request
+        client = request.client
+        if attempt.ended or request.owner is not None or client is None or not client.begin_answer(
+                headers, length, source):
+            return None
+        request.owner = attempt
+        self._stop_timer(request)
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+            attempt.timer = None
+        self._dispatch(api.StreamStarted(request.id, attempt.index))
+        return client
+
+    def _leave_client(self, request: LiveRequest) -> ClientConnection | None:
+        client, request.client = request.client, None
+        if client is not None:
+            self._stop_timer(request)
+            self._by_client.pop(client, None)
+        return client
+
     def _end_attempt(self, attempt: Attempt, outcome: Outcome) -> None:
         """An attempt has exactly one outcome, also one that is called off or ends late."""
         if attempt.ended:
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -1,7 +1,8 @@
 """Connections to backends, and what comes back as an Outcome of the decision module.
 
 One exchange on a connection at a time. Nothing is sent again here: a kept connection that breaks
-under a request is an outcome for the module.
+under a request is an outcome for the module. An answer of up to 64 KiB is handed over whole; a longer
+one goes to a sink while it comes, and is read only as fast as the sink takes it.
 """
 
 from __future__ import annotations
@@ -10,14 +11,15 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
 from cometdoor.config import Address
+from cometdoor.flow import LONGEST, STALL_S, WHOLE, Budget, Inflow
 from jasperhall.api import Outcome
 
-MAX_BODY = MAX_HEAD = 64 * 1024  # bytes of an answer; the protocol allows no more body, more is no answer
+MAX_HEAD = 64 * 1024
 MAX_FRAMING = 8  # bytes on the wire for each of the body's, where it comes in small chunks
 NEVER_RAN_STATUS = (503, 504)
 
@@ -29,7 +31,21 @@
     body: bytes
 
 
-Done = Callable[[Outcome, Answer | None], None]
+class Sink(Protocol):
+    """Where a long answer goes while it comes."""
+
+    def pass_on(self, data: bytes) -> None: ...
+
+
+class Source(Protocol):
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+
+Done = Callable[[Outcome, Answer | None], None]  # no answer with OK: it went to the sink, and is whole
+# A long answer begins: its headers, its length if that is told. Without a sink nobody wants it.
+Begun = Callable[[list[tuple[bytes, bytes]], int | None, Source], Sink | None]
 
 
 def outcome_of(answer: Answer) -> Outcome:
@@ -60,11 +76,14 @@
 class Exchange:
     """One attempt on the wire. `done` is called once, unless the exchange is aborted first."""
 
-    __slots__ = ("connection", "done", "payload")
+    __slots__ = ("begun", "body", "connection", "done", "payload")
 
-    def __init__(self, payload: Callable[[], bytes], done: Done) -> None:
+    def __init__(self, payload: Callable[[], bytes], done: Done, begun: Begun = lambda *_: None,
+                 body: Inflow | None = None) -> None:
         self.payload = payload  # made when it is written: it says how much time is left then
         self.done = done
+        self.begun = begun
+        self.body = body  # a long one, that follows the payload while it comes
         self.connection: Connection | None = None
 
     def is_written(self) -> bool:
@@ -76,9 +95,11 @@
         if connection is not None:
             connection.exchange = None
             connection.abort()
+        if self.body is not None:
+            self.body.detach()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     def __init__(self, pool: Pool, server: str, address: Address, exchange: Exchange) -> None:
         self.pool = pool
         self.server = server
@@ -90,12 +111,20 @@
         self._opening: asyncio.Task[None] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._wrote = self._paused = False
+        self._sent_end = True  # of a request's long body
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._size = self._received = 0
+        self._length: int | None = None  # of the answer's body, where it is told
+        self._until_close = False
         self._in_head = True
         self._answer: Answer | None = None
         self._reusable = False
+        self._sink: Sink | None = None
+        self._held_back = False  # the sink takes no more for now
+        self._whole = False  # all of an answer that went to the sink is in
+        self._moved_at = 0.0  # when a body last moved on
+        self._watch: asyncio.TimerHandle | None = None
 
     # --- opening ---
 
@@ -136,76 +165,196 @@
 
     def _write(self) -> None:
         assert self._transport is not None and self.exchange is not None
+        exchange = self.exchange
         self._wrote = True
         self._answer = None
-        self._transport.write(self.exchange.payload())
+        self._sent_end = exchange.body is None
+        self._transport.write(exchange.payload())
         if self._transport.is_closing():
             # The very first write failed: the kernel took no byte of it.
             self._wrote = False
             self._finish(Outcome.CONNECT_FAILED)
+        elif exchange.body is not None:
+            self._watch_stalls()
+            exchange.body.attach(self._feed)
+
+    def _feed(self) -> None:
+        """Pass on what has come of a long body, as far as the backend takes it."""
+        exchange, transport = self.exchange, self._transport
+        if exchange is None or exchange.body is None or transport is None or self._paused or self._sent_end:
+            return
+        body = exchange.body
+        data = body.take()
+        ends = body.ended and not body.waiting
+        if data:
+            self._moved_at = self.pool.loop.time()
+            transport.write(b"%x\r\n%s\r\n" % (len(data), data) if body.length is None else data)
+        if ends and self.exchange is exchange:
+            self._sent_end = True
+            if body.length is None:
+                transport.write(b"0\r\n\r\n")
 
     def is_written(self) -> bool:
-        return self._wrote and not self._paused
+        return self._wrote and not self._paused and self._sent_end
 
     def pause_writing(self) -> None:
         self._paused = True
 
     def resume_writing(self) -> None:
         self._paused = False
+        self._feed()
 
-    def data_received(self, data: bytes) -> None:
+    # --- its answer ---
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.pool.budget.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self.exchange is None:
             self.abort()  # an answer that nobody asked for
             return
+        self._moved_at = self.pool.loop.time()
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(self.pool.budget.room()[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self._answer is None:
+            if self.closed:
+                return
+            if self._answer is None and not self._whole:
                 self._unreadable()
                 return
             self._reusable = False
-        self._received += len(data)
-        if self._answer is not None:
+        if self.closed:
+            return  # nobody wants the rest
+        self._received += nbytes
+        if self._whole:
+            self._finish(Outcome.OK)
+        elif self._answer is not None:
             self._finish(outcome_of(self._answer), self._answer)
-        elif self._received > (MAX_HEAD if self._in_head else MAX_HEAD + MAX_FRAMING * MAX_BODY):
+        elif self._received > MAX_HEAD + (0 if self._in_head else MAX_FRAMING * max(self._size, WHOLE)):
             self._unreadable()
 
     def on_message_begin(self) -> None:
+        if self._answer is not None or self._whole:
+            raise ValueError("more than one answer")
         self._clear()
         self._in_head = True
         self._reusable = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._in_head:  # what comes after the body says nothing of the answer
+            self._headers.append((name, (value or b"").strip(b" \t")))
+
     def on_headers_complete(self) -> None:
         self._in_head = False
+        is_chunked = False
         for name, value in self._headers:
-            if name.lower() == b"content-length" and int(value) > MAX_BODY:
-                raise ValueError("the answer is too large")
+            if name.lower() == b"content-length":
+                self._length = int(value)
+                if self._length > LONGEST:
+                    raise ValueError("the answer is too large")
+            elif name.lower() == b"transfer-encoding":
+                is_chunked = True
+        # Such an answer ends with its connection.
+        self._until_close = self._length is None and not is_chunked
 
     def _clear(self) -> None:
         self._headers, self._body, self._size, self._received = [], [], 0, 0
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value or b""))
+        self._length, self._until_close = None, False
 
     def on_body(self, body: bytes) -> None:
+        if self.exchange is None:
+            return  # nobody wants the rest
         self._size += len(body)
-        if self._size > MAX_BODY:
+        if self._size > LONGEST:
             raise ValueError("the answer is too large")
+        if self._sink is not None:
+            self._sink.pass_on(body)
+            return
         self._body.append(body)
+        if max(self._size, self._length or 0) > WHOLE:
+            self._begin()
+
+    def _begin(self) -> None:
+        """The answer is too long to be held: from here on it goes to the client as it comes."""
+        exchange, status = self.exchange, self._parser.get_status_code()
+        assert exchange is not None
+        if status != 200:
+            # Its words are not passed on: the head has said all.
+            self._answer = Answer(status, self._headers, b"")
+            self._finish(outcome_of(self._answer), self._answer)
+            return
+        sink = exchange.begun(self._headers, self._length, self)
+        if self.exchange is not exchange:
+            return  # ended on the way
+        if sink is None:
+            self._finish(Outcome.CANCELLED)
+            return
+        self._sink = sink
+        self.pool.budget.flows += 1
+        self._watch_stalls()
+        body, self._body = self._body, []
+        sink.pass_on(b"".join(body))
 
     def on_message_complete(self) -> None:
+        if self.exchange is None or self._answer is not None:
+            return
         status = self._parser.get_status_code()
-        if status < 200 or self._answer is not None:
+        if status < 200:
             return
-        self._answer = Answer(status, self._headers, b"".join(self._body))
         self._reusable = self._parser.should_keep_alive()
+        if self._sink is not None:
+            self._whole = True
+        else:
+            self._answer = Answer(status, self._headers, b"".join(self._body))
 
     def eof_received(self) -> None:
-        self._broken()
+        if self.exchange is not None and self._until_close and not self._in_head:
+            self._reusable = False
+            if self._sink is not None:
+                self._finish(Outcome.OK)
+            else:
+                answer = Answer(self._parser.get_status_code(), self._headers, b"".join(self._body))
+                self._finish(outcome_of(answer), answer)
+        else:
+            self._broken()
 
     def connection_lost(self, problem: Exception | None) -> None:
         self._broken()
 
+    # --- the pace of long bodies ---
+
+    def pause(self) -> None:
+        """The client does not take what has come."""
+        if not self._held_back and self._transport is not None and not self._transport.is_closing():
+            self._held_back = True
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        if self._held_back and self._transport is not None:
+            self._held_back = False
+            self._moved_at = self.pool.loop.time()
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
+    def _watch_stalls(self) -> None:
+        """Guards against a machine that vanished in the middle of a body: nothing else would end it."""
+        if self._watch is None:
+            self._moved_at = self.pool.loop.time()
+            self._watch = self.pool.loop.call_later(STALL_S, self._look_for_stall)
+
+    def _look_for_stall(self) -> None:
+        self._watch = None
+        body = self.exchange.body if self.exchange is not None else None
+        stuck = self._paused or self._sink is not None  # else it is the client's turn, or the module's
+        left = self._moved_at + STALL_S - self.pool.loop.time()
+        if self._held_back or not stuck or left > 0:
+            if self._sink is not None or (body is not None and not self._sent_end):
+                self._watch = self.pool.loop.call_later(max(left, 1.0), self._look_for_stall)
+        else:
+            self._broken()
+
+    # --- how it ends ---
+
     def _unreadable(self) -> None:
         """The backend's own doing, unlike a broken connection: it counts against the server."""
         self._finish(Outcome.ERROR if self.is_written() else Outcome.CONNECT_FAILED)
@@ -216,21 +365,34 @@
 
     def _finish(self, outcome: Outcome, answer: Answer | None = None) -> None:
         exchange, self.exchange = self.exchange, None
-        if answer is not None and self._reusable and self.is_written() and not self.closed:
+        is_clean = (answer is not None or self._whole) and self._reusable
+        if is_clean and self.is_written() and not self.closed:
             self._wrote = False
+            self._drop_sink()
             self._clear()
             self.pool.keep(self)
         else:
             self.abort()
         if exchange is not None:
             exchange.connection = None
+            if exchange.body is not None:
+                exchange.body.detach()
             exchange.done(outcome, answer)
 
-    # --- end ---
+    def _drop_sink(self) -> None:
+        if self._sink is not None:
+            self.pool.budget.flows -= 1
+        self._sink = None
+        self._whole = False
+        self.resume()
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
 
     def abort(self) -> None:
         self._stop_timer()
         if not self.closed:
+            self._drop_sink()
             self.closed = True
             self.pool.forget(self)
             # The parser and the connection hold each other: what came of a cut off answer would stay
@@ -251,9 +413,10 @@
 class Pool:
     """Idle connections by backend, the most recently used last."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: Descriptors, idle_close_ms: float,
-                 connect_timeout_ms: float) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: Descriptors, budget: Budget,
+                 idle_close_ms: float, connect_timeout_ms: float) -> None:
         self.loop = loop
+        self.budget = budget
         self._descriptors = descriptors
         # Guards against a request written to a connection that the backend is just closing.
         self._keep_s = max(0.5 * idle_close_ms, 0.9 * idle_close_ms - 250.0) / 1000.0
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -159,6 +159,22 @@
     tenant: int = 0
     cost_ms: float | None = None  # expected work, where the client says
     is_retry: bool = False  # a client's repeat, where clients mark them
+    is_coming: bool = False  # its body is still on its way: its time counts from BodyEnded
+
+
+@dataclass(frozen=True, slots=True)
+class BodyGone:
+    """Bytes of the request have left that are not kept: it can't be sent again."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class BodyEnded:
+    """The last byte of a request that was still coming is here."""
+
+    request: str
+    left_ms: float  # time until the client gives this try up
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +211,8 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamStarted:
+    """The answer has begun: it is the client's, whose deadline cuts it no more."""
+
     request: str
     attempt: int
 
@@ -204,7 +222,8 @@
     token: int
 
 
-Event = RequestArrived | AttemptEnded | TimerFired | ListChanged | ClientGone | StreamStarted
+Event = (RequestArrived | BodyGone | BodyEnded | AttemptEnded | TimerFired | ListChanged | ClientGone
+         | StreamStarted)
 
 
 # --- actions ---
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -269,7 +269,7 @@
 
 
 class Attempt:
-    __slots__ = ("ended", "idle_ms", "member", "never_ran", "sent_at")
+    __slots__ = ("ended", "idle_ms", "member", "never_ran", "sent_at", "streams")
 
     def __init__(self, member: Member, sent_at: float) -> None:
         self.member = member
@@ -277,11 +277,12 @@
         self.idle_ms = max(sent_at - member.used_at, 0.0)  # of its connection; 0 for a new one
         self.ended = False
         self.never_ran = False
+        self.streams = False  # its answer has begun, and is the client's
 
 
 class Request:
-    __slots__ = ("arrived_at", "attempts", "class_index", "cls", "copied_at", "gives_up_at", "held", "id",
-                 "open", "streaming", "timer", "worth")
+    __slots__ = ("arrived_at", "attempts", "class_index", "cls", "coming", "copied_at", "counted",
+                 "gives_up_at", "gone", "held", "id", "open", "streaming", "timer", "worth")
 
     def __init__(self, event: api.RequestArrived, cls: api.RequestClass, worth: float, now: float) -> None:
         self.id = event.request
@@ -290,14 +291,20 @@
         self.worth = worth
         self.arrived_at = now
         self.held = False  # waits at the entry for room
+        self.counted = False  # among those that are out at the entry
+        self.coming = event.is_coming  # its body is not all in: its time has yet to begin
+        self.gone = False  # bytes of it have left that are not kept: no further attempt
         self.streaming = False  # its answer has begun: it is the client's from here on
         self.timer = 0  # the token of its one timer that still means something
         # An answer that earns nothing is not worked for: its server and connection are wanted by others.
-        self.gives_up_at = now + (event.left_ms if cls.late_worth else min(event.left_ms, cls.aim_ms))
+        self.gives_up_at = math.inf if self.coming else self.last_moment(event.left_ms, now)
         self.attempts: list[Attempt] = []
         self.copied_at = 0  # the attempt that is the backup copy, if any
         self.open = True  # a final answer is owed
 
+    def last_moment(self, left_ms: float, now: float) -> float:
+        return now + (left_ms if self.cls.late_worth else min(left_ms, self.cls.aim_ms))
+
     def standing(self) -> float:
         """How much of its class's worth it can still earn."""
         return self.worth / self.cls.worth if self.cls.worth else 0.0
@@ -431,7 +438,12 @@
             case api.ClientGone():
                 self._close(event.request)
             case api.StreamStarted():
-                self._stream_started(event)
+                self._stream_started(event, now)
+            case api.BodyGone():
+                if request := self._requests.get(event.request):
+                    request.gone = True
+            case api.BodyEnded():
+                self._body_ended(event, now)
         while waiting := self._admission.next(now):
             self._start(waiting, now)
         return self._actions
@@ -698,14 +710,35 @@
         return not cut and cls.deadline_ms - event.left_ms > cls.aim_ms
 
     def _start(self, request: Request, now: float) -> None:
-        self._admission.out += 1
+        if not request.coming:
+            self._count_out(request, 1)
         self._send(request, now)
-        if request.open:
+        if request.open and not request.coming:
             request.timer = self._set_timer(request.id, request.copy_delay_ms(now))
 
+    def _count_out(self, request: Request, change: int) -> None:
+        """Among those out are the ones that servers work at: not a body on its way in, or an answer out."""
+        if request.counted is not (change > 0):
+            request.counted = change > 0
+            self._admission.out += change
+
+    def _body_ended(self, event: api.BodyEnded, now: float) -> None:
+        """The server begins now, and the client counts from now."""
+        request = self._requests.get(event.request)
+        if request is None or not request.open or not request.coming:
+            return
+        request.coming = False
+        request.arrived_at = now
+        request.gives_up_at = request.last_moment(event.left_ms, now)
+        for attempt in request.attempts:
+            if not attempt.ended:
+                attempt.sent_at = now
+        if not request.held:
+            self._count_out(request, 1)
+
     def _may_send(self, request: Request, now: float) -> bool:
         """Rules 1, 2 and 5: nothing after the answer, no effect twice, no attempt beyond the budget."""
-        if request.streaming or not request.open or now >= request.gives_up_at:
+        if request.streaming or request.gone or not request.open or now >= request.gives_up_at:
             return False
         if len(request.attempts) >= self._settings.max_attempts:
             return False
@@ -730,7 +763,8 @@
             member.outstanding += 1
             self._outstanding += 1
             self._count_send(member, now)
-            self._actions.append(api.Send(request.id, member.name, request.gives_up_at - now))
+            limit_ms = 0.0 if request.coming else request.gives_up_at - now
+            self._actions.append(api.Send(request.id, member.name, limit_ms))
         elif not request.outstanding():
             self._give_up(request)
         return member is not None
@@ -755,20 +789,30 @@
         request.open = False
         if request.held:
             self._admission.release(request)
-        else:
-            self._admission.out -= 1
+        self._count_out(request, -1)
         if not request.streaming:
             self._cancel_others(request)
         if not request.outstanding():
             del self._requests[request.id]
 
-    def _stream_started(self, event: api.StreamStarted) -> None:
+    def _stream_started(self, event: api.StreamStarted, now: float) -> None:
         request = self._requests.get(event.request)
         if request is None or not request.open or not 0 <= event.attempt < len(request.attempts):
             return
-        request.streaming = True
+        attempt = request.attempts[event.attempt]
+        request.streaming = attempt.streams = True
         request.timer = 0
         self._cancel_others(request, event.attempt)
+        # What the server has to show shows by now: how long the rest takes is up to the client.
+        self._judge(attempt, request, Outcome.OK, now)
+        self._answered(request, attempt, now)
+        self._count_out(request, -1)
+
+    def _answered(self, request: Request, attempt: Attempt, now: float) -> None:
+        if request.copied_at:
+            self._gate.wins.add(float(request.attempts[request.copied_at] is attempt), now)
+        self._admission.answered(request.cls, now - attempt.sent_at, now)
+        self._admission.strain.add((now - request.arrived_at) / request.cls.aim_ms, now)
 
     def _cancel_others(self, request: Request, kept: int = -1) -> None:
         for index, attempt in enumerate(request.attempts):
@@ -817,20 +861,19 @@
         if event.outcome is Outcome.MOOT and event.attempt:
             self._budget.never_sent(attempt.sent_at)
         self._gate.leg_completed(now)
-        if event.outcome is Outcome.OK and request.open and request.copied_at:
-            self._gate.wins.add(float(event.attempt == request.copied_at), now)
+        is_answer = event.outcome is Outcome.OK and request.open and not attempt.streams
         # The server has nothing to do with a connection that was dropped on the way.
         if self._idle.is_reaped(attempt, event.outcome, now):
             self._actions.append(api.Close(attempt.member.name))
-        else:
+        elif not attempt.streams or event.outcome is not Outcome.OK:
             self._judge(attempt, request, event.outcome, now)
         if event.outcome in (Outcome.OK, Outcome.ERROR):
             attempt.member.used_at = now
         elif event.outcome is Outcome.RESET:
             attempt.member.used_at = math.inf
-        if request.open and event.outcome is Outcome.OK:
-            self._admission.answered(request.cls, now - attempt.sent_at, now)
-        if request.open and (event.final or event.outcome is Outcome.TIMEOUT):
+        if is_answer:
+            self._answered(request, attempt, now)
+        elif request.open and not attempt.streams and (event.final or event.outcome is Outcome.TIMEOUT):
             self._admission.strain.add((now - request.arrived_at) / request.cls.aim_ms, now)
         if event.final or not request.open:
             self._close(request.id)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -11,7 +12,7 @@
 
 from jasperhall import api
 from jasperhall.api import ListKind, Outcome, State
-from tests.harness import KEYED, KEYED_ALL, SAFE, SETTINGS, UNSAFE, Checker, RuleBroken, servers
+from tests.harness import KEYED, KEYED_ALL, SAFE, SETTINGS, UNSAFE, Checker, Owed, RuleBroken, servers
 
 STEPS = st.lists(
     st.one_of(
@@ -171,3 +172,59 @@
     checker.timers.clear()
     with pytest.raises(RuleBroken):
         breach(checker)
+
+
+def test_a_body_whose_bytes_are_gone_gets_no_further_attempt_and_is_refused_where_that_is_harmless() -> None:
+    cases = ((0, Outcome.RESET, api.Refuse), (3, Outcome.CONNECT_FAILED, api.Refuse),
+             (3, Outcome.RESET, api.Fail))
+    for class_index, outcome, answer in cases:
+        checker = Checker()
+        checker.list_servers(*servers(6))
+        checker.owed["r"] = Owed(checker.settings.classes[class_index], checker.now + 3000.0)
+        checker.feed(api.RequestArrived("r", class_index, 3000.0, is_coming=True))
+        checker.feed(api.BodyGone("r"))
+        (action,) = checker.end("r", 0, outcome)
+        assert type(action) is answer
+
+
+def test_a_body_that_found_no_connection_goes_to_another_server() -> None:
+    checker = Checker()
+    checker.list_servers(*servers(6))
+    checker.owed["r"] = Owed(checker.settings.classes[3], checker.now + 3000.0)
+    checker.feed(api.RequestArrived("r", 3, 3000.0, is_coming=True))
+    actions = checker.end("r", 0, Outcome.CONNECT_FAILED)
+    assert any(isinstance(action, api.Send) for action in actions)
+
+
+def test_the_time_of_a_body_counts_from_its_last_byte() -> None:
+    """However long it takes on its way, and no copy is sent of it meanwhile."""
+    checker = Checker()
+    checker.list_servers(*servers(6))
+    checker.owed["r"] = Owed(checker.settings.classes[0], math.inf)
+    (send,) = checker.feed(api.RequestArrived("r", 0, 1000.0, is_coming=True))  # and no timer for a copy
+    assert isinstance(send, api.Send) and send.timeout_ms == 0.0
+    checker.now += 60_000.0
+    assert checker.balancer._admission.out == 0
+    checker.feed(api.BodyEnded("r", 900.0))
+    request = checker.balancer._requests["r"]
+    assert (request.arrived_at, request.gives_up_at) == (checker.now, checker.now + 900.0)
+    assert checker.balancer._admission.out == 1
+    checker.now += 40.0
+    checker.end("r", 0, Outcome.OK)
+    assert checker.balancer._admission.out == 0
+    (latency,) = (average.total for average in checker.balancer._class_latency if average.count)
+    assert latency == pytest.approx(40.0)
+
+
+def test_a_long_answer_tells_of_its_server_by_its_first_byte() -> None:
+    checker = Checker()
+    checker.list_servers(*servers(6))
+    checker.request("r")
+    checker.now += 30.0
+    checker.feed(api.StreamStarted("r", 0))
+    assert checker.balancer._admission.out == 0  # the server's work is done
+    checker.now += 30_000.0
+    checker.end("r", 0, Outcome.OK)
+    (latency,) = (average for average in checker.balancer._class_latency if average.at)
+    assert latency.mean(0.0, 0.0, latency.at) == pytest.approx(30.0)
+    assert not checker.balancer._requests
