Let a long body wait longer at the entry: its client's time does not run yet

The 4 to 8 slow requests cut off in a play were refusals after a quarter of the aim, traced by their ids: 503 at 70 kB of the body. The wait for room is the whole aim now for a body on its way.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -693,7 +693,9 @@
             self._start(request, now)
         else:
             self._admission.hold(request)
-            request.timer = self._set_timer(request.id, min(HOLD_SHARE * cls.aim_ms, event.left_ms / 2))
+            # A body on its way costs its client none of its time.
+            hold_ms = cls.aim_ms if event.is_coming else min(HOLD_SHARE * cls.aim_ms, event.left_ms / 2)
+            request.timer = self._set_timer(request.id, hold_ms)
 
     def _is_past_aim(self, event: api.RequestArrived, cls: api.RequestClass) -> bool:
         """What is left tells the time spent, but for a try that its client ends early to make another.
