Take whole new settings by SIGHUP, or none of a file that can't be right

Now the file is checked whole (keys, numbers, what the one in force has) and swapped in at one point; requests hold their class, what was learned stays by name; the start holds to the same checks.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -34,12 +34,25 @@
 log = logging.getLogger("cometdoor")
 
 
-def reload(proxy: Proxy) -> None:
-    """A file that can't be used must not end a proxy that runs well on the one before."""
-    try:
-        proxy.reconfigure(load_config())
-    except BadConfig as problem:
-        log.error("the configuration is kept as it was: %s", problem)
+class Reload:
+    """A file that can't be used must not end a proxy that runs well on the one before, nor change it."""
+
+    def __init__(self, config: NodeConfig, proxy: Proxy, front: Frontend) -> None:
+        self.config = config
+        self._proxy = proxy
+        self._front = front
+
+    def __call__(self) -> None:
+        try:
+            config = load_config(now=self.config)
+        except BadConfig as problem:
+            log.error("the configuration is kept as it was: %s", problem)
+            return
+        self.config = config
+        self._front.reader = RequestReader(config)
+        self._proxy.reconfigure(config)
+        log.info("new settings are in force: classes %s; attempts %d; discovery %s:%d",
+                 ", ".join(config.classes), config.settings.max_attempts, *config.discovery)
 
 
 class Evacuation:
@@ -74,8 +87,9 @@
     descriptors = Descriptors(config.sockets, control.DESCRIPTORS if config.control else 0)
     budget = Budget(config.memory_mb)
     proxy = Proxy(config, loop, descriptors, budget, life)
-    loop.add_signal_handler(signal.SIGHUP, reload, proxy)
     front = Frontend(loop, RequestReader(config), descriptors, budget, proxy, life)
+    reload = Reload(config, proxy, front)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     Evacuation(loop, front, life)
     if config.control:
         await door.listen(*config.control)
@@ -91,12 +105,12 @@
     log.info("%s serves on %s:%d", config.name, *front.address())
     await stopping.wait()
     life.leave()
-    await leave(config, proxy, front, life)
+    await leave(reload.config, proxy, front)
     door.close()
     proxy.stop()
 
 
-async def leave(config: NodeConfig, proxy: Proxy, front: Frontend, life: LifeCycle) -> None:
+async def leave(config: NodeConfig, proxy: Proxy, front: Frontend) -> None:
     """Answer all that was taken, and end each connection between two requests."""
     loop = asyncio.get_running_loop()
     longest_s = max(cls.deadline_ms for cls in config.settings.classes) / 1000.0
--- a/cometdoor/config.py
+++ b/cometdoor/config.py
@@ -1,11 +1,16 @@
-"""What this proxy is told: the object that NODE_CONFIG names, read once at the start."""
+"""What this proxy is told: the object that NODE_CONFIG names, read at the start and at each SIGHUP.
+
+A file is checked whole before any of it counts: its keys, its numbers, and that it has all that the one in
+force has.
+"""
 
 from __future__ import annotations
 
+import math
 import os
 import socket
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +21,18 @@
 
 Address = tuple[str, int]
 
+# What the program goes by: the file must say it, no default would be safe.
+NEEDED: dict[str, tuple[str, ...]] = {
+    "": ("seed", "settings"),
+    "settings": ("discovery", "group_size", "lanes", "limits", "obligations", "position", "stage", "tiers",
+                 "zone", "zones"),
+    "settings.limits": ("cancel", "may_duplicate", "max_open", "try_limit"),
+    "settings.obligations": ("ask_within_ms", "cold_from", "fall_ms", "overload_factor", "ramp_time_ms"),
+}
+NEEDED_OF_CLASS = ("name", "aim_ms", "deadline_ms", "effect", "worth", "late_worth")
+NEEDED_OF_KEYED = ("dedup_scope", "key_ttl_ms")
+MAY_GO_MISSING = frozenset({"aim_stretch", "passes_deadline", "warm_keys"})  # by the wire's page
+
 
 class BadConfig(Exception):
     """The configuration can't be used; the message is for the operator."""
@@ -41,6 +58,10 @@
     idle_close_ms: float
     connect_timeout_ms: float
     may_advise_pause: bool  # clients may be told when to come back
+    raw: dict[str, Any] = field(default_factory=dict)  # as it was read, without the list
+    # Of the settings before: name -> place among the classes, for requests that fit those only.
+    former: dict[str, int] = field(default_factory=dict)
+    former_methods: dict[str, bytes] = field(default_factory=dict)
 
 
 def read_address(text: str) -> Address:
@@ -50,8 +71,63 @@
     return host.strip("[]"), int(port)
 
 
+def method_of(cls: api.RequestClass) -> bytes:
+    return b"GET" if cls.effect is api.Effect.SAFE else b"POST"
+
+
+def above_zero(owner: dict[str, Any], name: str, where: str) -> None:
+    value = owner[name]
+    is_number = isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+    if not is_number or value <= 0:
+        raise ValueError(f"{where}{name}: {value!r} is no number above 0")
+
+
+def check(raw: dict[str, Any]) -> None:
+    """Raises KeyError, ValueError, TypeError or AttributeError: what a file may not be."""
+    for path, needed in NEEDED.items():
+        owner = raw
+        for step in filter(None, path.split(".")):
+            owner = owner[step]
+        for name in needed:
+            if owner[name] is None:
+                raise KeyError(name)
+    settings = raw["settings"]
+    above_zero(settings["limits"], "try_limit", "limits.")
+    if settings["limits"]["try_limit"] != int(settings["limits"]["try_limit"]):
+        raise ValueError("limits.try_limit: attempts are counted whole")
+    seen = set()
+    for lane in settings["lanes"]:
+        name = lane["name"]
+        if not isinstance(name, str) or not name or name in seen:
+            raise ValueError(f"lanes: {name!r} is no name of its own")
+        seen.add(name)
+        for key in NEEDED_OF_CLASS + (NEEDED_OF_KEYED if lane["effect"] == "dedup" else ()):
+            if lane[key] is None:
+                raise KeyError(key)
+        above_zero(lane, "aim_ms", f"class {name}: ")
+        above_zero(lane, "deadline_ms", f"class {name}: ")
+
+
+def missing_keys(now: Any, new: Any, path: str = "") -> Iterator[str]:
+    """What the file in force says and the new one leaves out. The entries of lists come and go."""
+    if isinstance(now, dict) and isinstance(new, dict):
+        for name in now.keys() - MAY_GO_MISSING:
+            where = f"{path}.{name}" if path else name
+            if name in new:
+                yield from missing_keys(now[name], new[name], where)
+            else:
+                yield where
+    elif isinstance(now, list) and isinstance(new, list):
+        entries = [entry for entry in now if isinstance(entry, dict)]
+        if entries:
+            common = {name: None for name in entries[0] if all(name in entry for entry in entries)}
+            for entry in new:
+                yield from missing_keys(common, entry, path)
+
+
 def read_config(raw: dict[str, Any], environment: Mapping[str, str]) -> NodeConfig:
-    """Keys that are not known here are skipped; what the file leaves out comes from the environment."""
+    """Keys that are not known here are skipped; an address that the file leaves out is the environment's."""
+    check(raw)
     info = raw["settings"]
     limits, report = part(info, "limits", {}), part(info, "report", {})
     seed = raw["seed"]
@@ -76,9 +152,35 @@
         idle_close_ms=float(part(limits, "idle_close_ms", 15_000.0)),
         connect_timeout_ms=float(part(limits, "connect_timeout_ms", 250.0)),
         may_advise_pause=bool(part(limits, "retry_after", False)),
+        raw={name: value for name, value in raw.items() if name != "known"},
     )
 
 
+def after(now: NodeConfig, new: NodeConfig) -> NodeConfig:
+    """The new settings, with a place for each class that is not what it was.
+
+    Clients go by the old settings for a while. A class that was dropped keeps its rules; one whose requests
+    look otherwise now is taken by the old looks as what must not run twice, which is right by both.
+    """
+    classes, former, methods = list(new.settings.classes), {}, {}
+    for name, place in now.classes.items():
+        cls = now.settings.classes[place]
+        kept = new.classes.get(name)
+        if kept is not None and new.settings.classes[kept].effect is cls.effect:
+            continue
+        former[name], methods[name] = len(classes), method_of(cls)
+        classes.append(cls if kept is None else replace(cls, effect=api.Effect.UNSAFE))
+    settings = replace(new.settings, classes=tuple(classes))
+    return replace(new, settings=settings, former=former, former_methods=methods)
+
+
+def read_file(path: str) -> dict[str, Any]:
+    raw = orjson.loads(Path(path).read_bytes())
+    if not isinstance(raw, dict):
+        raise ValueError(f"an object is wanted, not {type(raw).__name__}")
+    return raw
+
+
 def inherited_listener(environment: Mapping[str, str] = os.environ) -> socket.socket | None:
     """The clients' listening socket, where the platform holds it and hands it down."""
     text = environment.get("NODE_INHERITED_FD")
@@ -100,13 +202,20 @@
     return listener
 
 
-def load_config(environment: Mapping[str, str] = os.environ) -> NodeConfig:
+def load_config(environment: Mapping[str, str] = os.environ, now: NodeConfig | None = None) -> NodeConfig:
+    """`now`: the one in force, where there is one already."""
     path = environment.get("NODE_CONFIG")
     if not path:
         raise BadConfig("NODE_CONFIG is not set")
     try:
-        return read_config(orjson.loads(Path(path).read_bytes()), environment)
+        raw = read_file(path)
+        new = read_config(raw, environment)
     except KeyError as problem:
         raise BadConfig(f"{path}: {problem} is missing or has an unknown value") from problem
-    except (OSError, ValueError, TypeError, AttributeError) as problem:
+    except (OSError, ValueError, TypeError, AttributeError, OverflowError) as problem:
         raise BadConfig(f"{path}: {problem}") from problem
+    if now is None:
+        return new
+    if missing := sorted(missing_keys(now.raw, raw)):
+        raise BadConfig(f"{path}: {', '.join(missing)} missing, which the settings in force have")
+    return after(now, new)
--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -194,6 +194,11 @@
         self._stop_moving()
         self._moving = self.loop.call_later(random.uniform(0.0, MOVE_SPREAD_S), self.watch)
 
+    def change(self, must_ask: bool) -> None:
+        self._must_ask = must_ask
+        if not must_ask and self._watch is None and self._moving is None:
+            self.watch()
+
     def _stop_moving(self) -> None:
         if self._moving is not None:
             self._moving.cancel()
--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from cometdoor.config import Address, NodeConfig
+from cometdoor.config import Address, NodeConfig, method_of
 from cometdoor.flow import LONGEST, STALL_S, WHOLE, Budget, Inflow
 from cometdoor.lifecycle import LifeCycle
 from cometdoor.upstream import Descriptors, Source
@@ -31,6 +31,7 @@
 SLOWEST = 40_000.0  # bytes a second; clients send 64 kB in one
 LOOK_AGAIN_S = 0.05
 REST_S = 2.0  # a connection without a request may be closed after that
+FORMER_S = 3.0  # clients name new classes 1.2 s after the signal, and have sent requests before
 BUSY_PAUSE_MS = 500.0  # a caller refused for want of room here is told to come back after that
 LINGER_S = 1.0  # a caller whose input was bad may go on sending for so long; it is read and dropped
 LONGEST_LINGER_S = 30.0  # and one whose body is not wanted any more, while it goes on
@@ -71,6 +72,7 @@
     left_ms: float = 0.0
     cost_ms: float | None = None
     is_retry: bool = False
+    read_by: RequestReader | None = None
 
     def is_coming(self) -> bool:
         return self.inflow is not None and not self.inflow.ended
@@ -112,26 +114,24 @@
     """What a request says of itself, by its headers; raises BadRequest."""
 
     def __init__(self, config: NodeConfig) -> None:
-        self._classes = {name.encode(): place for name, place in config.classes.items()}
-        self._effects = [cls.effect for cls in config.settings.classes]
+        classes = config.settings.classes
+        self._classes = {name.encode(): (place, method_of(classes[place]), classes[place].effect)
+                         for name, place in config.classes.items()}
+        # What fits only the settings before is taken for a while.
+        self._former = {name.encode(): (place, config.former_methods[name], classes[place].effect)
+                        for name, place in config.former.items()}
+        self._former_until = time.monotonic() + FORMER_S
         self._tenants = {name.encode(): place for name, place in config.tenants.items()}
         self.busy_headers = pause_headers(config, BUSY_PAUSE_MS)
 
     def read(self, request: ClientRequest) -> None:
+        request.read_by = self
         headers = {name.lower(): value for name, value in request.headers}
         in_path = request.target.split(b"?", 1)[0].split(b"/")[1:2]
         name = headers.get(b"x-qos") or (in_path[0] if in_path else b"")
         if in_path != [name]:
             raise BadRequest(400, "the path names another class than X-Qos")
-        class_index = self._classes.get(name)
-        if class_index is None:
-            raise BadRequest(404, "unknown class")
-        request.class_index = class_index
-        effect = self._effects[class_index]
-        if request.method != (b"GET" if effect is Effect.SAFE else b"POST"):
-            raise BadRequest(405, "the class has another method")
-        if effect is Effect.KEYED and not headers.get(b"idempotency-key"):
-            raise BadRequest(400, "Idempotency-Key is missing")
+        request.class_index = self._class_of(request, name, bool(headers.get(b"idempotency-key")))
         request.trace_id = headers.get(b"x-trace-id", b"").decode("latin-1")
         if not request.trace_id:
             raise BadRequest(400, "X-Trace-Id is missing")
@@ -146,6 +146,20 @@
         request.tenant = self._tenants.get(headers.get(b"x-customer", b""), 0)
         request.is_retry = headers.get(b"x-second-try") == b"1"
 
+    def _class_of(self, request: ClientRequest, name: bytes, has_key: bool) -> int:
+        known = [self._classes.get(name)]
+        if time.monotonic() < self._former_until:
+            known.append(self._former.get(name))
+        problem = BadRequest(404, "unknown class")
+        for place, method, effect in filter(None, known):
+            if request.method != method:
+                problem = BadRequest(405, "the class has another method")
+            elif effect is Effect.KEYED and not has_key:
+                problem = BadRequest(400, "Idempotency-Key is missing")
+            else:
+                return place
+        raise problem
+
 
 class ClientConnection(asyncio.BufferedProtocol):
     def __init__(self, front: Frontend) -> None:
@@ -319,14 +333,18 @@
         if request.target.split(b"?", 1)[0] == b"/up" and request.method == b"GET":
             request.is_up_check = True
         else:
-            try:
-                self._front.reader.read(request)
-            except BadRequest as problem:
-                request.bad = problem
-                if expects or length > WHOLE:
-                    raise  # its body is not wanted
+            self._read(request)
+            if request.bad is not None and (expects or length > WHOLE):
+                raise request.bad  # its body is not wanted
         self._owes_continue = expects
 
+    def _read(self, request: ClientRequest) -> None:
+        request.bad = None
+        try:
+            self._front.reader.read(request)
+        except BadRequest as problem:
+            request.bad = problem
+
     def on_body(self, body: bytes) -> None:
         request = self._coming
         assert request is not None
@@ -385,6 +403,8 @@
     def _next(self) -> None:
         while self.request is None and self._ahead and not self._unread and not self._is_over():
             request = self.request = self._ahead.popleft()
+            if request.read_by is not None and request.read_by is not self._front.reader:
+                self._read(request)  # the settings have changed since
             if request.bad is not None:
                 headers = self._front.reader.busy_headers if request.bad.status == 503 else []
                 self.answer(request.bad.status, headers, str(request.bad).encode())
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -160,8 +160,12 @@
         self._discovery.stop()
 
     def reconfigure(self, config: NodeConfig) -> None:
-        """The platform moves discovery while the proxy runs; all else holds until the next start."""
+        """New settings, whole; what the machine has and where it listens holds until the next start."""
+        self._config = config
+        self._pool.change(config.idle_close_ms, config.connect_timeout_ms)
         self._discovery.move(config.discovery)
+        self._dispatch(api.SettingsChanged(config.settings))
+        self._discovery.change(config.settings.must_ask)
 
     def owes_answers(self) -> bool:
         return bool(self._by_client)
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -418,11 +418,14 @@
         self.loop = loop
         self.budget = budget
         self._descriptors = descriptors
+        self.change(idle_close_ms, connect_timeout_ms)
+        self._idle: dict[str, list[Connection]] = {}
+        self._by_age: dict[Connection, None] = {}  # all idle ones, the longest idle first
+
+    def change(self, idle_close_ms: float, connect_timeout_ms: float) -> None:
         # Guards against a request written to a connection that the backend is just closing.
         self._keep_s = max(0.5 * idle_close_ms, 0.9 * idle_close_ms - 250.0) / 1000.0
         self._connect_timeout_ms = connect_timeout_ms
-        self._idle: dict[str, list[Connection]] = {}
-        self._by_age: dict[Connection, None] = {}  # all idle ones, the longest idle first
 
     def send(self, server: str, address: Address, exchange: Exchange) -> bool:
         """False: no connection may be opened, and no byte will be written."""
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -37,6 +37,7 @@
     worth: float = 1.0
     late_worth: float = 0.0  # share of the worth that an answer between aim and deadline earns
     stream: bool = False
+    name: str = ""  # what was learned of a class is kept by it when settings change
 
     def __post_init__(self) -> None:
         _positive(self, "aim_ms", "deadline_ms")
@@ -46,6 +47,7 @@
 @dataclass(frozen=True, slots=True)
 class Tenant:
     allowance_per_s: float  # requests a second, over all balancers, within its share
+    name: str = ""
 
     def __post_init__(self) -> None:
         _not_negative(self, "allowance_per_s")
@@ -209,6 +211,13 @@
     load: Mapping[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """From here on these hold; requests that are open keep the class that they came with."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class StreamStarted:
     """The answer has begun: it is the client's, whose deadline cuts it no more."""
@@ -223,7 +232,7 @@
 
 
 Event = (RequestArrived | BodyGone | BodyEnded | AttemptEnded | TimerFired | ListChanged | ClientGone
-         | StreamStarted)
+         | StreamStarted | SettingsChanged)
 
 
 # --- actions ---
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections import deque
+from collections.abc import Sequence
 from heapq import heappop, heappush
 from zlib import crc32
 
@@ -111,16 +112,35 @@
         return {Scope.ALL: None, Scope.ZONE: self.entry.zone, Scope.CELL: self.entry.cell}[scope]
 
 
+class ClassRecord:
+    """What was learned of a class. It outlives new settings, by the class's name."""
+
+    __slots__ = ("latency", "patience_ms")
+
+    def __init__(self) -> None:
+        self.latency = Average()
+        self.patience_ms = 0.0  # the longest that a client gave its first try
+
+
+def names(entries: Sequence[api.RequestClass | api.Tenant]) -> list[str]:
+    """What each is kept by; one without a name by its place."""
+    return [entry.name or f"#{place}" for place, entry in enumerate(entries)]
+
+
 class Share:
     """A tenant's allowance at this balancer: the whole, split evenly over balancers that share nothing."""
 
     __slots__ = ("at", "burst", "left", "rate")
 
     def __init__(self, tenant: api.Tenant, balancers: int) -> None:
-        self.rate = tenant.allowance_per_s / 1000.0 / balancers
-        self.burst = self.left = 1.0 + self.rate * SHARE_BURST_MS
+        self.allow(tenant, balancers)
+        self.left = self.burst
         self.at: float | None = None
 
+    def allow(self, tenant: api.Tenant, balancers: int) -> None:
+        self.rate = tenant.allowance_per_s / 1000.0 / balancers
+        self.burst = 1.0 + self.rate * SHARE_BURST_MS
+
     def take(self, now: float) -> bool:
         """Whether one more request is within the share."""
         if self.at is not None:
@@ -135,7 +155,7 @@
     """The share of its aim that an answer takes while there is no crowd: the least of the recent means."""
 
     def __init__(self, span_ms: float) -> None:
-        self._span_ms = span_ms
+        self.span_ms = span_ms
         self._means: deque[tuple[float, float]] = deque()  # when each was over, and the mean
         self._since = -math.inf
         self._total = 0.0
@@ -144,7 +164,7 @@
     def add(self, share: float, now: float) -> None:
         self._total += share
         self._count += 1
-        if now - self._since < self._span_ms or self._count < BASE_SAMPLES:
+        if now - self._since < self.span_ms or self._count < BASE_SAMPLES:
             return
         # Of the very first, the slow ones are not yet in.
         if self._since > -math.inf:
@@ -165,21 +185,33 @@
     """
 
     def __init__(self, settings: api.Settings) -> None:
-        self.top_worth = max(cls.worth for cls in settings.classes) or 1.0
         self.floor = 1.0
         self.out = 0  # requests that are out
         self.waiting: dict[float, dict[str, Request]] = {}  # by standing, the newest last
-        self.fade_ms = max(cls.aim_ms for cls in settings.classes)
+        self._set(settings)
         self.patience = Average(self.fade_ms)  # the time that each answer should take by its own class
         self.strained = Average(self.fade_ms)  # and that it may take once answers are not in time
         self.strain = Average(2.0 * self.fade_ms)  # the share of their aims that requests took
         self.taken = Average(TAKEN_MS)  # the same of attempts that were answered, from when they were sent
         self.base = Base(self.fade_ms)
         self.started_at: float | None = None
+
+    def _set(self, settings: api.Settings) -> None:
+        self.top_worth = max(cls.worth for cls in settings.classes) or 1.0
+        self.fade_ms = max(cls.aim_ms for cls in settings.classes)
         rate = sum(tenant.allowance_per_s for tenant in settings.tenants) / 1000.0 / settings.balancers
         aim_ms = sum(cls.aim_ms for cls in settings.classes) / len(settings.classes)
         self.expected = rate * aim_ms * QUEUE_SHARE  # out by the tenants' allowances, before answers are in
 
+    def change(self, settings: api.Settings) -> None:
+        before = self.fade_ms
+        self._set(settings)
+        for average in (self.patience, self.strained):
+            average.fade_ms = self.fade_ms
+            average.total *= self.fade_ms / before  # the same pace, seen over another time
+        self.strain.fade_ms = 2.0 * self.fade_ms
+        self.base.span_ms = self.fade_ms
+
     def answered(self, cls: api.RequestClass, took_ms: float, now: float) -> None:
         self.base.add(took_ms / cls.aim_ms, now)
         self.taken.add(took_ms / cls.aim_ms, now)
@@ -281,13 +313,15 @@
 
 
 class Request:
-    __slots__ = ("arrived_at", "attempts", "class_index", "cls", "coming", "copied_at", "counted",
-                 "gives_up_at", "gone", "held", "id", "open", "streaming", "timer", "worth")
+    __slots__ = ("arrived_at", "attempts", "cls", "coming", "copied_at", "counted", "gives_up_at", "gone",
+                 "held", "id", "max_attempts", "open", "record", "streaming", "timer", "worth")
 
-    def __init__(self, event: api.RequestArrived, cls: api.RequestClass, worth: float, now: float) -> None:
+    def __init__(self, event: api.RequestArrived, cls: api.RequestClass, record: ClassRecord,
+                 max_attempts: int, worth: float, now: float) -> None:
         self.id = event.request
-        self.class_index = event.class_index
         self.cls = cls
+        self.record = record
+        self.max_attempts = max_attempts  # as it was when the request came
         self.worth = worth
         self.arrived_at = now
         self.held = False  # waits at the entry for room
@@ -329,7 +363,7 @@
     """
 
     def __init__(self, budget: api.AttemptBudget) -> None:
-        self._budget = budget
+        self.limits = budget
         self._taken: deque[float] = deque()  # when requests came, oldest first; refused ones too
         self._extra: deque[float] = deque()  # when further attempts left
 
@@ -339,7 +373,7 @@
 
     def allows_one(self, now: float) -> bool:
         self._expire(now)
-        return len(self._extra) + 1 <= self._budget.floor + self._budget.per_request * len(self._taken)
+        return len(self._extra) + 1 <= self.limits.floor + self.limits.per_request * len(self._taken)
 
     def sent(self, now: float) -> None:
         self._extra.append(now)
@@ -350,7 +384,7 @@
             self._extra.remove(sent_at)
 
     def _expire(self, now: float) -> None:
-        oldest = now - self._budget.span_ms
+        oldest = now - self.limits.span_ms
         while self._taken and self._taken[0] <= oldest + EDGE_MS:
             self._taken.popleft()
         while self._extra and self._extra[0] < oldest - EDGE_MS:
@@ -403,7 +437,7 @@
         self._virtual_now = 0.0
         self._gate = BackupGate()
         self._idle = IdleConnections()
-        self._class_latency = [Average() for _ in settings.classes]
+        self._records = {name: ClassRecord() for name in names(settings.classes)}
         self._failures = Average()
         self._zone_slowness = (Average(), Average())  # of the own zone's servers, and of all others
         self._kind_slowness: dict[int, Average] = {}
@@ -415,9 +449,10 @@
         self._warm_sends = Average()
         self._warm_rate = 0.0  # sends in a ms and for each weight to warm servers, when there last were any
         self._outstanding = 0
-        self._shares = [Share(tenant, settings.balancers) for tenant in settings.tenants]
+        self._shares = {name: Share(tenant, settings.balancers)
+                        for name, tenant in zip(names(settings.tenants), settings.tenants, strict=True)}
+        self._name_places()
         self._admission = Admission(settings)
-        self._patience_ms = [0.0 for _ in settings.classes]  # the longest that a client gave its first try
         self._timers: dict[int, str | None] = {}  # token -> request, or None for a renewed watch
         self._last_token = 0
         self._watch_due = False  # a timer to ask for the list is set
@@ -444,10 +479,35 @@
                     request.gone = True
             case api.BodyEnded():
                 self._body_ended(event, now)
+            case api.SettingsChanged():
+                self._settings_changed(event.settings, now)
         while waiting := self._admission.next(now):
             self._start(waiting, now)
         return self._actions
 
+    # --- settings ---
+
+    def _name_places(self) -> None:
+        """Events name classes and tenants by their places in the settings."""
+        self._record_at = [self._records[name] for name in names(self._settings.classes)]
+        self._share_at = [self._shares[name] for name in names(self._settings.tenants)]
+
+    def _settings_changed(self, settings: api.Settings, now: float) -> None:
+        must_ask_now = settings.must_ask and not self._settings.must_ask
+        self._settings = settings
+        self._records = {name: self._records.get(name) or ClassRecord() for name in names(settings.classes)}
+        shares, self._shares = self._shares, {}
+        for name, tenant in zip(names(settings.tenants), settings.tenants, strict=True):
+            share = self._shares[name] = shares.get(name) or Share(tenant, settings.balancers)
+            share.allow(tenant, settings.balancers)
+        self._name_places()
+        self._budget.limits = settings.attempt_budget or OWN_BUDGET
+        self._admission.change(settings)
+        if must_ask_now and not self._watch_due:
+            self._set_timer(None, 0.0)
+            self._watch_due = True
+        self._choose_subset(now)
+
     # --- server list ---
 
     def _list_changed(self, event: api.ListChanged, now: float) -> None:
@@ -628,7 +688,7 @@
             failed = float(outcome is not Outcome.OK)
             member.failures.add(failed, now)
             self._failures.add(failed, now)
-        of_class = self._class_latency[request.class_index]
+        of_class = request.record.latency
         if outcome is Outcome.OK:
             of_class.add(latency, now)
         elif outcome not in (Outcome.CANCELLED, Outcome.TIMEOUT):
@@ -679,15 +739,16 @@
     def _arrive(self, event: api.RequestArrived, now: float) -> None:
         if not 0 <= event.class_index < len(self._settings.classes):
             raise ValueError(f"class_index: {event.class_index} is no class")
-        cls = self._settings.classes[event.class_index]
+        cls, record = self._settings.classes[event.class_index], self._record_at[event.class_index]
         worth = cls.worth
         # A try that came past the aim of its client's first no longer earns the full worth.
-        if self._is_past_aim(event, cls):
+        if self._is_past_aim(event, cls, record):
             worth *= cls.late_worth
         # Else a tenant that sends several times its share crowds out those that keep to theirs.
-        elif event.tenant < len(self._shares) and not self._shares[event.tenant].take(now):
+        elif event.tenant < len(self._share_at) and not self._share_at[event.tenant].take(now):
             worth *= self._settings.over_share_worth
-        request = self._requests[event.request] = Request(event, cls, worth, now)
+        request = self._requests[event.request] = Request(
+            event, cls, record, self._settings.max_attempts, worth, now)
         self._budget.request_taken(now)
         if self._settings.tier or self._admission.has_room(request, now):
             self._start(request, now)
@@ -697,18 +758,17 @@
             hold_ms = cls.aim_ms if event.is_coming else min(HOLD_SHARE * cls.aim_ms, event.left_ms / 2)
             request.timer = self._set_timer(request.id, hold_ms)
 
-    def _is_past_aim(self, event: api.RequestArrived, cls: api.RequestClass) -> bool:
+    def _is_past_aim(self, event: api.RequestArrived, cls: api.RequestClass, record: ClassRecord) -> bool:
         """What is left tells the time spent, but for a try that its client ends early to make another.
 
         Clients cut all tries but their last to one length, their first one's: a last try may be left more
         time than a first. Where they mark nothing, all that have less than the most seen are taken as late.
         """
         if not event.is_retry:
-            known = self._patience_ms[event.class_index]
-            self._patience_ms[event.class_index] = max(known, event.left_ms)
+            record.patience_ms = max(record.patience_ms, event.left_ms)
         if self._settings.marks_retries and not event.is_retry:
             return False
-        cut = abs(event.left_ms - self._patience_ms[event.class_index]) <= SAME_MS
+        cut = abs(event.left_ms - record.patience_ms) <= SAME_MS
         return not cut and cls.deadline_ms - event.left_ms > cls.aim_ms
 
     def _start(self, request: Request, now: float) -> None:
@@ -742,7 +802,7 @@
         """Rules 1, 2 and 5: nothing after the answer, no effect twice, no attempt beyond the budget."""
         if request.streaming or request.gone or not request.open or now >= request.gives_up_at:
             return False
-        if len(request.attempts) >= self._settings.max_attempts:
+        if len(request.attempts) >= min(request.max_attempts, self._settings.max_attempts):
             return False
         if request.attempts and not self._budget.allows_one(now):
             return False
--- a/jasperhall/simhost.py
+++ b/jasperhall/simhost.py
@@ -60,6 +60,7 @@
         worth=part(lane, "worth", 1.0),
         late_worth=part(lane, "late_worth", 0.0),
         stream=part(lane, "stream", False),
+        name=part(lane, "name", ""),
     )
 
 
@@ -73,7 +74,8 @@
     limits, rules, prices = (part(info, name, {}) for name in ("limits", "obligations", "fees"))
     return api.Settings(
         classes=tuple(read_class(lane) for lane in info["lanes"]),
-        tenants=tuple(api.Tenant(tenant["allowance_per_s"]) for tenant in part(info, "tenants", ())),
+        tenants=tuple(api.Tenant(tenant["allowance_per_s"], part(tenant, "name", ""))
+                      for tenant in part(info, "tenants", ())),
         balancers=part(info, "group_size", 1),
         position=part(info, "position", 0),
         tier=part(info, "stage", 0),
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,7 +14,7 @@
 
 import uvloop
 
-from cometdoor.config import read_config
+from cometdoor.config import NodeConfig, read_config
 from cometdoor.flow import Budget
 from cometdoor.frontend import Frontend, RequestReader
 from cometdoor.lifecycle import LifeCycle
@@ -208,6 +208,7 @@
 
 class Rig:
     def __init__(self) -> None:
+        self.config: NodeConfig
         self.front: Frontend
         self.proxy: Proxy
         self.descriptors: Descriptors
@@ -217,7 +218,8 @@
     async def start(self, *members: dict[str, Any], discovery: str = "127.0.0.1:1", sockets: int = 1024,
                     asked: bool = False, **settings: Any) -> Rig:
         settings["discovery_mode"] = "subscribe" if asked else "automatic"
-        config = read_config(make_config("127.0.0.1:1", discovery, *members, sockets=sockets, **settings), {})
+        config = self.config = read_config(
+            make_config("127.0.0.1:1", discovery, *members, sockets=sockets, **settings), {})
         loop = asyncio.get_running_loop()
         self.descriptors = Descriptors(config.sockets)
         self.life = LifeCycle()
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -401,7 +401,8 @@
     admission = Admission(replace(SETTINGS, classes=(dear, cheap)))
     admission.floor = 10.0
     for name, cls, worth in (("dear", dear, 5.0), ("over share", dear, 0.25), ("cheap", cheap, 2.0)):
-        admission.hold(balancer.Request(api.RequestArrived(name, 0, 3000.0), cls, worth, 0.0))
+        arrival = api.RequestArrived(name, 0, 3000.0)
+        admission.hold(balancer.Request(arrival, cls, balancer.ClassRecord(), 3, worth, 0.0))
     order = []
     while request := admission.next(1.0):
         order.append(request.id)
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,277 @@
+"""New settings while the proxy runs: whole or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from cometdoor.__main__ import Reload
+from cometdoor.config import BadConfig, NodeConfig, load_config
+from cometdoor.frontend import RequestReader
+from jasperhall import api
+from jasperhall.api import Effect, Outcome
+from tests.harness import KEYED, SAFE, SETTINGS, UNSAFE, Checker, servers
+from tests.rig import LANES, FakeServer, Rig, Script, first_to, make_config, member, run
+
+Change = Callable[[dict[str, Any]], None]
+
+
+def written(folder: Path, raw: Any) -> dict[str, str]:
+    path = folder / "config.json"
+    path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
+    return {"NODE_CONFIG": str(path)}
+
+
+def base() -> dict[str, Any]:
+    return copy.deepcopy(make_config("127.0.0.1:1", "127.0.0.1:2"))
+
+
+def setting(*path: str | int, value: Any) -> Change:
+    def change(raw: dict[str, Any]) -> None:
+        owner: Any = raw
+        for step in path[:-1]:
+            owner = owner[step]
+        owner[path[-1]] = value
+
+    return change
+
+
+def without(*path: str | int) -> Change:
+    def change(raw: dict[str, Any]) -> None:
+        owner: Any = raw
+        for step in path[:-1]:
+            owner = owner[step]
+        del owner[path[-1]]
+
+    return change
+
+
+NO_NUMBERS = ["3", True, None, 0, -5, -0.5, [], {}]
+LANE = ("settings", "lanes", 1)
+BAD: dict[str, Change] = {
+    **{f"a deadline of {value!r}": setting(*LANE, "deadline_ms", value=value) for value in NO_NUMBERS},
+    **{f"{value!r} attempts": setting("settings", "limits", "try_limit", value=value)
+       for value in NO_NUMBERS},
+    **{f"no {key}": without(*LANE, key) for key in ("name", "aim_ms", "deadline_ms", "effect", "key_ttl_ms")},
+    **{f"no {path[-1]}": without(*path) for path in (
+        ("seed",), ("settings",), ("settings", "lanes"), ("settings", "limits"), ("settings", "obligations"),
+        ("settings", "limits", "try_limit"), ("settings", "obligations", "cold_from"), ("settings", "zone"))},
+    "half an attempt": setting("settings", "limits", "try_limit", value=1.5),
+    "no class at all": setting("settings", "lanes", value=[]),
+    "one class twice": setting("settings", "lanes", value=[LANES[0], LANES[0]]),
+    "an unknown effect": setting(*LANE, "effect", value="brittle"),
+    "classes in a text": setting("settings", "lanes", value="read"),
+    "settings in a list": setting("settings", value=[]),
+    "a bad address": setting("discovery", value="here"),
+}
+NO_JSON = ["", " ", "{", json.dumps(base())[:-40], "[]", "null", "7", "\x00",
+           json.dumps(base()).replace('"deadline_ms": 3000.0', '"deadline_ms": NaN'),
+           json.dumps(base()).replace('"deadline_ms": 3000.0', '"deadline_ms": 1e999')]
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_a_bad_file_is_turned_down_at_the_start_and_later(name: str, tmp_path: Path) -> None:
+    good = load_config(written(tmp_path, base()))
+    raw = base()
+    BAD[name](raw)
+    for now in (None, good):
+        with pytest.raises(BadConfig):
+            load_config(written(tmp_path, raw), now)
+
+
+@pytest.mark.parametrize("text", NO_JSON)
+def test_a_file_that_is_empty_cut_short_or_no_object_is_turned_down(text: str, tmp_path: Path) -> None:
+    for now in (None, load_config(written(tmp_path, base()))):
+        with pytest.raises(BadConfig):
+            load_config(written(tmp_path, text), now)
+
+
+@pytest.mark.parametrize("path", [("listen",), ("discovery",), ("limits", "sockets"), ("settings", "fees"),
+                                  ("settings", "fees", "waste"), ("settings", "limits", "retry_after"),
+                                  (*LANE, "worth")])
+def test_a_file_that_lacks_what_the_settings_in_force_have_is_turned_down(path: tuple[str | int, ...],
+                                                                          tmp_path: Path) -> None:
+    good = load_config(written(tmp_path, base()))
+    raw = base()
+    without(*path)(raw)
+    with pytest.raises(BadConfig, match=str(path[-1])):
+        load_config({**written(tmp_path, raw), "NODE_LISTEN": "127.0.0.1:1", "NODE_DISCOVERY": "127.0.0.1:1"},
+                    good)
+
+
+def new_lanes(*lanes: dict[str, Any], **changes: Any) -> dict[str, Any]:
+    raw = base()
+    raw["settings"].update(lanes=list(lanes), **changes)
+    return raw
+
+
+class Running:
+    """A rig whose settings come from a file."""
+
+    def __init__(self, folder: Path, rig: Rig) -> None:
+        self.folder = folder
+        self.rig = rig
+        self.reload = Reload(rig.config, rig.proxy, rig.front)
+
+    def take(self, raw: Any) -> NodeConfig:
+        with mock.patch.dict("os.environ", written(self.folder, raw)):
+            self.reload()
+        return self.reload.config
+
+
+def test_a_bad_file_changes_nothing_and_is_one_line_in_the_log(tmp_path: Path,
+                                                               caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        with Script().in_place() as script:
+            running = Running(tmp_path, await Rig().start())
+            before = running.reload.config
+            reader = running.rig.front.reader
+            with caplog.at_level("INFO"):
+                for text in ("", "{", json.dumps(new_lanes({**LANES[0], "deadline_ms": 0}))):
+                    caplog.clear()
+                    assert running.take(text) is before
+                    (line,) = caplog.messages
+                    assert "kept as it was" in line
+            assert running.rig.front.reader is reader
+            assert not any(isinstance(event, api.SettingsChanged) for event in script.events)
+
+    run(test)
+
+
+def test_open_requests_keep_their_class_and_new_ones_go_by_the_new_settings(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            running = Running(tmp_path, rig)
+            early = await rig.caller()
+            early.ask("pay")
+            held = await backend.next()
+            new = {**LANES[2], "name": "rent", "effect": "retryable"}
+            config = running.take(new_lanes(new, LANES[2], LANES[0]))
+            changed = await script.until(api.SettingsChanged)
+            assert [cls.name for cls in changed.settings.classes] == ["rent", "pay", "read", "book"]
+            late = await rig.caller()
+            for kind, place in (("pay", 1), ("read", 2), ("book", 3)):
+                late.ask(kind)
+                arrival = await script.until(api.RequestArrived)
+                assert arrival.class_index == place
+                (await backend.next()).reply(200, kind.encode())
+                assert (await late.answer()).body == kind.encode()
+            late.writer.write(b"GET /rent/1 HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Qos: rent\r\n"
+                              b"X-Expires-In: 3\r\n\r\n")
+            arrival = await script.until(api.RequestArrived)
+            assert changed.settings.classes[arrival.class_index].effect is Effect.SAFE
+            (await backend.next()).reply(200, b"new")
+            assert (await late.answer()).body == b"new"
+            held.reply(200, b"held")
+            assert (await early.answer()).body == b"held"
+            with mock.patch("cometdoor.frontend.FORMER_S", 0.0):
+                rig.front.reader = RequestReader(config)
+            late.ask("book")
+            assert (await late.answer()).status == 404  # dropped, and no client says it any more
+
+    run(test)
+
+
+def test_a_request_that_looks_as_before_runs_once_at_the_most(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            running = Running(tmp_path, rig)
+            config = running.take(new_lanes({**LANES[0], "effect": "fragile"}, LANES[1], LANES[2]))
+            caller = await rig.caller()
+            caller.ask("read")  # GET, as it was
+            arrival = await script.until(api.RequestArrived)
+            assert config.settings.classes[arrival.class_index].effect is Effect.UNSAFE
+            (await backend.next()).reply(200, b"ok")
+            assert (await caller.answer()).status == 200
+            with mock.patch("cometdoor.frontend.FORMER_S", 0.0):
+                rig.front.reader = RequestReader(config)
+            caller.ask("read")
+            assert (await caller.answer()).status == 405
+
+    run(test)
+
+
+def test_a_request_read_before_the_change_and_sent_after_it_is_read_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            running = Running(tmp_path, rig)
+            caller = await rig.caller()
+            caller.ask("read")
+            caller.ask("pay")  # waits behind it
+            call = await backend.next()
+            (connection,) = rig.front.connections
+            while not connection._ahead:
+                await asyncio.sleep(0.01)
+            running.take(new_lanes(LANES[2], LANES[0], LANES[1]))
+            call.reply(200)
+            await caller.answer()
+            (await backend.next()).reply(200)
+            await caller.answer()
+            arrivals = [event for event in script.events if isinstance(event, api.RequestArrived)]
+            assert [arrival.class_index for arrival in arrivals] == [0, 0]
+
+    run(test)
+
+
+READ, BOOK, PAY = replace(SAFE, name="read"), replace(KEYED, name="book"), replace(UNSAFE, name="pay")
+
+
+def test_the_module_keeps_what_it_learned_by_name_and_open_requests_their_rules() -> None:
+    settings = replace(SETTINGS, classes=(READ, PAY), max_attempts=3)
+    checker = Checker(settings)
+    checker.list_servers(*servers(6))
+    checker.request("a", 0)
+    checker.now += 70.0
+    checker.end("a", 0, Outcome.OK)
+    checker.request("open", 0)
+    record = checker.balancer._record_at[0]
+    assert record.latency.count == 1.0
+    rent = replace(READ, name="rent")
+    checker.settings = replace(settings, classes=(rent, replace(READ, effect=Effect.UNSAFE)), max_attempts=2)
+    checker.feed(api.SettingsChanged(checker.settings))
+    assert checker.balancer._record_at[1] is record
+    assert checker.balancer._record_at[0].latency.count == 0.0
+    # Open: still safe, so it is tried again; not a third time, since only two attempts are allowed now.
+    assert any(isinstance(action, api.Send) for action in checker.end("open", 0, Outcome.RESET))
+    assert [type(action) for action in checker.end("open", 1, Outcome.RESET)] == [api.Refuse]
+    # New: by the new rule.
+    checker.request("new", 1)
+    assert [type(action) for action in checker.end("new", 0, Outcome.RESET)] == [api.Fail]
+
+
+def test_the_module_asks_for_the_list_when_new_settings_want_that() -> None:
+    checker = Checker(replace(SETTINGS, must_ask=False))
+    checker.list_servers(*servers(3))
+    actions = checker.feed(api.SettingsChanged(replace(SETTINGS, must_ask=True)))
+    (timer,) = (action for action in actions if isinstance(action, api.SetTimer))
+    assert checker.feed(api.TimerFired(timer.token)) == [api.Watch()]
+
+
+def test_the_pace_at_the_entry_outlives_another_aim() -> None:
+    checker = Checker(replace(SETTINGS, classes=(READ,)))
+    checker.list_servers(*servers(6))
+    for number in range(200):
+        checker.request(f"r{number}")
+        checker.now += 20.0
+        checker.end(f"r{number}", 0, Outcome.OK)
+    before = checker.balancer._admission.limit(checker.now)
+    slow = replace(READ, name="slow", aim_ms=4000)
+    checker.feed(api.SettingsChanged(replace(SETTINGS, classes=(READ, slow))))
+    assert checker.balancer._admission.limit(checker.now) == pytest.approx(before, rel=0.3)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -212,7 +212,7 @@
     checker.now += 40.0
     checker.end("r", 0, Outcome.OK)
     assert checker.balancer._admission.out == 0
-    (latency,) = (average.total for average in checker.balancer._class_latency if average.count)
+    (latency,) = (record.latency.total for record in checker.balancer._record_at if record.latency.count)
     assert latency == pytest.approx(40.0)
 
 
@@ -225,6 +225,6 @@
     assert checker.balancer._admission.out == 0  # the server's work is done
     checker.now += 30_000.0
     checker.end("r", 0, Outcome.OK)
-    (latency,) = (average for average in checker.balancer._class_latency if average.at)
+    (latency,) = (record.latency for record in checker.balancer._record_at if record.latency.at)
     assert latency.mean(0.0, 0.0, latency.at) == pytest.approx(30.0)
     assert not checker.balancer._requests
