Let a crowd pay with its own connections when descriptors run out

Possible: slow reading of the crowd's requests (ruled out: answered in 0.3 ms), the module's refusals (38 of some 300 in the log), the descriptors. Counted each half second: a burst opens 200, 190 callers at rest are ended, and 30 requests get 503 'full', all that came: an ended caller counted until the loop came round, so the limit stayed passed. frontend.closed() at fault; now close() gives the descriptor back. Idle connections to backends went before the crowd's: now the crowd's go first.

--- a/cometdoor/control.py
+++ b/cometdoor/control.py
@@ -16,8 +16,8 @@
 from cometdoor.config import Address
 from cometdoor.lifecycle import LifeCycle
 
-MAX_OPEN = 16
-DESCRIPTORS = MAX_OPEN + 4  # set aside: the listener, and connections that are just closing
+MAX_OPEN = 8
+DESCRIPTORS = MAX_OPEN + 3  # set aside: the listener, and connections that are just closing
 MAX_CALL = 16 * 1024  # bytes of a call, body and all
 CALL_S = 2.0  # a caller has so long to send its call
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -30,6 +30,7 @@
 BODY_S = 0.8  # from the end of the head: a body may be behind its slowest pace by so much
 SLOWEST = 40_000.0  # bytes a second; clients send 64 kB in one
 LOOK_AGAIN_S = 0.05
+STUCK_S = 1.0  # one that stopped so long ago in the middle of a head may be ended for another
 REST_S = 2.0  # a connection without a request may be closed after that
 FORMER_S = 3.0  # clients name new classes 1.2 s after the signal, and have sent requests before
 BUSY_PAUSE_MS = 500.0  # a caller refused for want of room here is told to come back after that
@@ -587,9 +588,14 @@
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    def is_stuck(self, since: float) -> bool:
+        """Half a head has come, and no byte more for long."""
+        return self._in_head and self._heard_at <= since and self.request is None and not self._ahead
+
     def close(self) -> None:
         if self._transport is not None:
             self._transport.close()
+            self._front.released(self)
 
 
 @dataclass
@@ -634,11 +640,15 @@
                 connection.close()
 
     def opened(self, connection: ClientConnection) -> None:
-        """Guards against running out of descriptors: idle connections go, to backends before callers'."""
+        """Guards against running out of descriptors: callers that are owed nothing go first.
+
+        Then idle connections to backends: a crowd that asks once and stays pays with its own connections,
+        not with those that requests go by. Last, callers of whom nothing has come yet.
+        """
         self.connections[connection] = None
         self.descriptors.used += 1
-        if self.is_over_limit() and not self.handler.make_room():
-            self._close_longest_at_rest(lambda other: other is not connection)
+        if self.is_over_limit() and not self.make_room() and not self.handler.make_room():
+            self._end_longest_at_rest(lambda other: other is not connection)
 
     def rests(self, connection: ClientConnection) -> None:
         connection.rests_since = self.loop.time()
@@ -650,20 +660,39 @@
         After a flood of callers all rest but briefly. One that was answered loses nothing by an early end,
         while an open request without a connection to a server is lost to its caller.
         """
+        return self._end_rested() or self._end_answered() or self._end_stuck()
+
+    def _end_rested(self) -> bool:
         until = self.loop.time() - REST_S
-        return (self._close_longest_at_rest(lambda other: other.rests_since <= until)
-                or self._close_longest_at_rest(lambda other: not other.is_new))
+        return self._end_longest_at_rest(lambda other: other.rests_since <= until)
+
+    def _end_answered(self) -> bool:
+        return self._end_longest_at_rest(lambda other: not other.is_new)
 
-    def _close_longest_at_rest(self, may_go: Callable[[ClientConnection], bool]) -> bool:
+    def _end_stuck(self) -> bool:
+        """One that stopped half way in its head: it will hardly go on."""
+        since = self.loop.time() - STUCK_S
+        for other in self.connections:
+            if other.is_stuck(since):
+                other.close()
+                return True
+        return False
+
+    def _end_longest_at_rest(self, may_go: Callable[[ClientConnection], bool]) -> bool:
         for other in self.connections:
             if may_go(other) and other.is_idle():
                 other.close()
                 return True
         return False
 
+    def released(self, connection: ClientConnection) -> None:
+        """It is closing: its descriptor is given back in a moment, and counts no more."""
+        if connection in self.connections:
+            del self.connections[connection]
+            self.descriptors.used -= 1
+
     def closed(self, connection: ClientConnection) -> None:
-        del self.connections[connection]
-        self.descriptors.used -= 1
+        self.released(connection)
 
     def is_over_limit(self) -> bool:
         return self.descriptors.used > self.descriptors.limit
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cometdoor import frontend
+from cometdoor.upstream import Descriptors
 from jasperhall import api
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
 
@@ -275,3 +276,59 @@
         assert (await caller.answer()).status == 503
 
     run(test)
+
+
+def test_a_crowd_that_asks_once_and_stays_costs_no_request_its_answer() -> None:
+    """Day crowd+term: closing callers counted as open until the loop came round, and requests got 503."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address), sockets=Descriptors.RESERVE + 8)
+            crowd = []
+            for _ in range(30):
+                crowd.append(await rig.caller())
+                crowd[-1].writer.write(head("GET /up HTTP/1.1", "Host: x"))
+                await crowd[-1].answer()
+            new = [await rig.caller() for _ in range(5)]  # at one go, and each with its request
+            for caller in new[:3]:
+                caller.ask()
+            for _ in range(3):
+                (await backend.next()).reply(200, b"served")
+            for caller in new[:3]:
+                assert (await caller.answer()).body == b"served"
+            assert rig.descriptors.used <= 8
+
+    run(test)
+
+
+def test_a_closing_caller_gives_its_descriptor_back_at_once() -> None:
+    async def test() -> None:
+        rig = await Rig().start()
+        caller = await rig.caller()
+        caller.writer.write(head("GET /up HTTP/1.1", "Host: x"))
+        await caller.answer()
+        (connection,) = rig.front.connections
+        connection.close()
+        assert (rig.descriptors.used, len(rig.front.connections)) == (0, 0)
+        assert await caller.ended()
+        await asyncio.sleep(0.05)
+        assert rig.descriptors.used == 0  # and not twice
+
+    run(test)
+
+
+def test_one_that_stopped_in_its_head_makes_room_for_another() -> None:
+    async def test() -> None:
+        with mock.patch("cometdoor.frontend.STUCK_S", 0.05):
+            rig = await Rig().start(sockets=Descriptors.RESERVE + 2)
+            stuck = await rig.caller()
+            stuck.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Trace")
+            await asyncio.sleep(0.1)
+            going = await rig.caller()
+            going.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Trace")
+            await rig.caller()
+            assert await stuck.ended()
+            assert not going.reader.at_eof()
+
+    run(test)
