Hand over from the old process to the new: what it knows, its place, its descriptors

Now: locked marks in the temporary folder tell who lives, a state file gives list and learning, the old module yields (no copies, no cold servers) and keeps to the descriptors it holds; on SIGTERM it stops accepting at once. A stale, cut short or foreign file is passed over; evacuations hold for both.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -5,9 +5,11 @@
 import asyncio
 import gc
 import logging
+import os
 import signal
 import socket
 import sys
+from pathlib import Path
 
 import uvloop
 
@@ -16,6 +18,7 @@
 from cometdoor.control import Door, operators_calls
 from cometdoor.flow import Budget
 from cometdoor.frontend import Frontend, RequestReader
+from cometdoor.handover import Handover
 from cometdoor.lifecycle import LifeCycle, Phase
 from cometdoor.proxy import Proxy
 from cometdoor.upstream import Descriptors
@@ -29,6 +32,8 @@
 # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
 LONGEST_WAIT_S, KILL_AFTER_S = 3.0, 0.7
 BEFORE_KILL_S = 0.15  # so much sooner is what is still out failed
+FEWEST = 24  # descriptors that a process has at the least beside another
+SPARE = 4  # that one in whose place another acts may take beside those it holds
 FLUSH_S = 1.5  # callers may take so long to read their last answers
 
 log = logging.getLogger("cometdoor")
@@ -63,7 +68,7 @@
         self._front = front
         self._life = life
         self._look: asyncio.TimerHandle | None = None
-        life.changed = self._changed
+        life.listeners.append(self._changed)
 
     def _changed(self, phase: Phase) -> None:
         if phase is Phase.EVACUATING:
@@ -80,19 +85,70 @@
             self._look = self._loop.call_later(LOOK_EVERY_S, self._close_idle)
 
 
+class Succession:
+    """What one process leaves to the other while both are one proxy: the place, memory, descriptors."""
+
+    def __init__(self, config: NodeConfig, handover: Handover, proxy: Proxy, front: Frontend) -> None:
+        self._handover = handover
+        self._proxy = proxy
+        self._front = front
+        self._sockets = config.sockets
+        self._alone = front.descriptors.limit
+        self._own = config.sockets - self._alone  # what is set aside
+        self._memory = front.budget.total
+        self._yielded = False
+        handover.learned = proxy.learned
+        handover.looked = self._looked
+        handover.keep_to(config.sockets)
+
+    def _looked(self) -> None:
+        if self._handover.is_succeeded() != self._yielded:
+            self._yielded = not self._yielded
+            log.info("another process takes clients in this one's place" if self._yielded else
+                     "the other process is gone: its part is taken back")
+            self._proxy.yield_place(self._yielded)
+        self._front.budget.total = self._memory // (2 if self._handover.peers else 1)
+        self._front.descriptors.limit = limit = self._descriptors()
+        self._handover.keep_to(limit + self._own)
+
+    def _descriptors(self) -> int:
+        descriptors = self._front.descriptors
+        if not self._handover.peers:
+            return self._alone
+        if not self._handover.is_followed():
+            left = self._sockets - self._handover.others_descriptors() - self._own
+            return min(max(left, FEWEST), self._alone)
+        if self._yielded:
+            return min(descriptors.limit, descriptors.used + SPARE)
+        half = max(self._sockets // 2 - self._own, FEWEST)
+        while descriptors.used > half and (self._front.make_room() or self._proxy.make_room()):
+            pass
+        return max(half, descriptors.used)
+
+
 async def serve(config: NodeConfig, listener: socket.socket | None, stopping: asyncio.Event) -> None:
     loop = asyncio.get_running_loop()
     life = LifeCycle()
     door = Door(loop, operators_calls(life))
+    if config.control:
+        await door.listen(*config.control)
+    handover, told = None, None
+    folder = os.environ.get("TMPDIR")
+    if listener is not None and folder:
+        handover = Handover(loop, Path(folder), life)
+        handover.announce()
+        told = await handover.ask()
     descriptors = Descriptors(config.sockets, control.DESCRIPTORS if config.control else 0)
     budget = Budget(config.memory_mb)
-    proxy = Proxy(config, loop, descriptors, budget, life)
+    proxy = Proxy(config, loop, descriptors, budget, life, told)
     front = Frontend(loop, RequestReader(config), descriptors, budget, proxy, life)
     reload = Reload(config, proxy, front)
     loop.add_signal_handler(signal.SIGHUP, reload)
     Evacuation(loop, front, life)
-    if config.control:
-        await door.listen(*config.control)
+    if handover is not None:
+        Succession(config, handover, proxy, front)
+        life.is_succeeded = handover.is_succeeded
+        handover.watch()
     if listener is not None:
         await front.listen_on(listener)
     else:
@@ -104,22 +160,33 @@
     gc.set_threshold(20_000, 20, 50)
     log.info("%s serves on %s:%d", config.name, *front.address())
     await stopping.wait()
+    if handover is not None:
+        handover.look()  # SIGTERM may come right behind the other's yes
     life.leave()
-    await leave(reload.config, proxy, front)
+    await leave(reload.config, proxy, front, life)
     door.close()
     proxy.stop()
+    if handover is not None:
+        handover.close()
 
 
-async def leave(config: NodeConfig, proxy: Proxy, front: Frontend) -> None:
+async def leave(config: NodeConfig, proxy: Proxy, front: Frontend, life: LifeCycle) -> None:
     """Answer all that was taken, and end each connection between two requests."""
     loop = asyncio.get_running_loop()
     longest_s = max(cls.deadline_ms for cls in config.settings.classes) / 1000.0
     last_word_at = loop.time() + min(longest_s, LONGEST_WAIT_S) + KILL_AFTER_S - BEFORE_KILL_S
-    await asyncio.sleep(SERVE_ON_S)
-    front.closing = True
-    front.close_idle()
-    await asyncio.sleep(LISTEN_ON_S - SERVE_ON_S)
-    front.stop_listening()
+    patience_s = 0.0
+    if life.is_succeeded():
+        # The other process takes who comes. Who came here and has yet to ask is heard.
+        front.stop_listening()
+        front.closing = True
+        patience_s = FIRST_REQUEST_S
+    else:
+        await asyncio.sleep(SERVE_ON_S)
+        front.closing = True
+        front.close_idle()
+        await asyncio.sleep(LISTEN_ON_S - SERVE_ON_S)
+        front.stop_listening()
     # A caller that stopped in the middle of a request is owed nothing, and must not keep the program.
     flushed_by = loop.time() + FLUSH_S
     while proxy.owes_answers() or (front.connections and loop.time() < flushed_by):
@@ -127,7 +194,7 @@
             flushed_by = loop.time() + FLUSH_S
             if loop.time() >= last_word_at:
                 proxy.fail_all()
-        front.close_idle()
+        front.close_idle(patience_s)
         await asyncio.sleep(LOOK_EVERY_S)
 
 
--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -159,12 +159,13 @@
 
 class Discovery:
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, reader: ListReader, must_ask: bool,
-                 revision: int, deliver: Callable[[ListChanged, dict[str, Address]], None]) -> None:
+                 known: dict[str, Any], deliver: Callable[[ListChanged, dict[str, Address]], None]) -> None:
         self.loop = loop
         self.reader = reader
         self._address = address
         self._must_ask = must_ask
-        self._revision = revision
+        self._revision = int(known.get("revision") or 0)
+        self._members = {member["id"]: member for member in known.get("members") or ()}
         self._deliver = deliver
         self._watch: WatchConnection | None = None
         self._pause_s = FIRST_PAUSE_S
@@ -184,6 +185,10 @@
             self, f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}")
         self._watch.open(self._address)
 
+    def whole_list(self) -> dict[str, Any]:
+        """As discovery itself would tell it."""
+        return {"revision": self._revision, "complete": True, "members": list(self._members.values())}
+
     def move(self, address: Address) -> None:
         """Go on at another address from the known revision, without waiting for the old one's end."""
         if address == self._address:
@@ -212,6 +217,13 @@
 
     def changed(self, message: dict[str, Any], servers: list[Server], addresses: dict[str, Address]) -> None:
         self._revision = int(message.get("revision", self._revision))
+        if message.get("complete"):
+            self._members.clear()
+        for member in message.get("members") or ():
+            if STATES[member["phase"]] is State.GONE:
+                self._members.pop(member["id"], None)
+            else:
+                self._members[member["id"]] = member
         self._pause_s = FIRST_PAUSE_S
         kind = ListKind.FULL if message.get("complete") else ListKind.DELTA
         self._deliver(ListChanged(kind, tuple(servers)), addresses)
--- a/cometdoor/lifecycle.py
+++ b/cometdoor/lifecycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable
 from enum import Enum
 
@@ -19,14 +20,23 @@
 class LifeCycle:
     def __init__(self) -> None:
         self.phase = Phase.STARTING
-        self.changed: Callable[[Phase], None] = lambda phase: None
+        self.listeners: list[Callable[[Phase], None]] = []
+        # The operators' last word, and when it came: where two processes are one proxy, the later counts.
+        self.is_sent_away = False
+        self.ordered_at = 0.0
         self._able = False  # has all it needs to serve
+        self._began_away = False  # clients were sent away already when this process started
         # Another process serves at the same address: the two are one proxy, which stays up.
         self.is_succeeded: Callable[[], bool] = lambda: False
 
     def takes_clients(self) -> bool:
-        """What the door's ready call says."""
-        return self.phase is Phase.SERVING
+        """What the door's ready call says.
+
+        An evacuation that this process found when it started is no reason for a no: the platform would give
+        up a new version, though it could take the old one's place, and `/up` sends nobody here.
+        """
+        return self.phase is Phase.SERVING or (
+            self.phase is Phase.EVACUATING and self._able and self._began_away)
 
     def is_up(self) -> bool:
         """What `/up` says to those who send clients."""
@@ -37,16 +47,30 @@
         if self.phase is Phase.STARTING:
             self._enter(Phase.SERVING)
 
-    def evacuate(self) -> bool:
+    def evacuate(self, at: float | None = None) -> bool:
+        self._order(True, at)
         if self.phase in (Phase.STARTING, Phase.SERVING):
             self._enter(Phase.EVACUATING)
         return True  # a proxy that leaves is being emptied too
 
-    def rejoin(self) -> bool:
+    def rejoin(self, at: float | None = None) -> bool:
+        self._order(False, at)
         if self.phase is Phase.EVACUATING:
             self._enter(Phase.SERVING if self._able else Phase.STARTING)
         return self.phase is not Phase.LEAVING
 
+    def _order(self, is_sent_away: bool, at: float | None) -> None:
+        self.is_sent_away = is_sent_away
+        self._began_away = False
+        self.ordered_at = time.monotonic() if at is None else at
+
+    def follow(self, is_sent_away: bool, at: float) -> None:
+        """What was ordered at the other process holds here too, unless something later was ordered here."""
+        if at > self.ordered_at:
+            is_start = self.phase is Phase.STARTING
+            (self.evacuate if is_sent_away else self.rejoin)(at)
+            self._began_away = is_start and is_sent_away
+
     def leave(self) -> None:
         if self.phase is not Phase.LEAVING:
             self._enter(Phase.LEAVING)
@@ -54,4 +78,5 @@
     def _enter(self, phase: Phase) -> None:
         log.info("%s, was %s", phase.value, self.phase.value)
         self.phase = phase
-        self.changed(phase)
+        for listener in self.listeners:
+            listener(phase)
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -12,6 +12,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 from cometdoor.config import Address, NodeConfig
 from cometdoor.discovery import Discovery, ListReader
@@ -128,7 +129,8 @@
 
 class Proxy:
     def __init__(self, config: NodeConfig, loop: asyncio.AbstractEventLoop, descriptors: Descriptors,
-                 budget: Budget, life: LifeCycle) -> None:
+                 budget: Budget, life: LifeCycle, told: dict[str, Any] | None = None) -> None:
+        """`told`: what the process knows whose place this one takes."""
         self._life = life
         self._config = config
         self._loop = loop
@@ -143,11 +145,37 @@
         self._handling = self._started = False
         self._unserved = UnservedLog()
         reader = ListReader(config.zones, config.kinds)
+        told = told if told is not None and self._can_use(told, reader) else None
+        known = told["list"] if told is not None else config.known
         self._discovery = Discovery(
-            loop, config.discovery, reader, config.settings.must_ask,
-            int(config.known.get("revision") or 0), self._list_changed)
-        servers, addresses = reader.read(config.known)
+            loop, config.discovery, reader, config.settings.must_ask, known, self._list_changed)
+        servers, addresses = reader.read(known)
         self._list_changed(api.ListChanged(ListKind.CACHED, tuple(servers)), addresses)
+        if told is not None:
+            self._dispatch(api.TakenOver(told["learned"]))
+            log.info("taken over: %d servers at revision %s", len(servers), known["revision"])
+
+    def _can_use(self, told: dict[str, Any], reader: ListReader) -> bool:
+        """Another version may have written it: it is tried out on a module that is thrown away."""
+        try:
+            servers, _ = reader.read(told["list"])
+            int(told["list"]["revision"])
+            trial = Balancer(self._config.settings, self._config.seed)
+            trial.handle(api.ListChanged(ListKind.CACHED, tuple(servers)), now_ms())
+            trial.handle(api.TakenOver(told["learned"]), now_ms())
+        except Exception as problem:
+            log.warning("what the process before knows is of no use: %s: %s", type(problem).__name__, problem)
+            return False
+        return True
+
+    def learned(self) -> dict[str, Any]:
+        return {"list": self._discovery.whole_list(), "learned": self._balancer.learned()}
+
+    def yield_place(self, on: bool) -> None:
+        """Another process acts in this one's place, or does so no longer."""
+        self._dispatch(api.Yielded(on))
+        if on:
+            self._pool.close_all_idle()
 
     def start(self) -> None:
         """Once clients can come."""
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -456,6 +456,10 @@
         for connection in list(self._idle.get(server, ())):
             connection.abort()
 
+    def close_all_idle(self) -> None:
+        for connection in list(self._by_age):
+            connection.abort()
+
     def close_oldest_idle(self) -> bool:
         oldest = next(iter(self._by_age), None)
         if oldest is None:
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 
 class Effect(Enum):
@@ -218,6 +219,20 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class TakenOver:
+    """What another balancer learned that this one follows, as its `Balancer.learned` gave it."""
+
+    learned: Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Yielded:
+    """Another balancer has (or has no longer) taken this one's place: the two act as one."""
+
+    on: bool
+
+
 @dataclass(frozen=True, slots=True)
 class StreamStarted:
     """The answer has begun: it is the client's, whose deadline cuts it no more."""
@@ -232,7 +247,7 @@
 
 
 Event = (RequestArrived | BodyGone | BodyEnded | AttemptEnded | TimerFired | ListChanged | ClientGone
-         | StreamStarted | SettingsChanged)
+         | StreamStarted | SettingsChanged | TakenOver | Yielded)
 
 
 # --- actions ---
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -10,8 +10,9 @@
 import math
 import random
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from heapq import heappop, heappush
+from typing import Any
 from zlib import crc32
 
 from jasperhall import api
@@ -57,6 +58,10 @@
 GOLDEN = 0.6180339887  # multiples of it, modulo 1, spread evenly for any run of positions
 
 
+SAME_START_MS = 1_000.0  # two processes read the machines' clock a little differently
+HURRY_MS = 300.0  # between calls for the list, after taking another's place
+
+
 class Average:
     """A mean over the recent past, whose evidence fades with time."""
 
@@ -71,6 +76,12 @@
         self.count += 1.0
         self.total += value
 
+    def take_over(self, told: Any) -> None:
+        self.count, self.total, self.at = map(float, told)
+
+    def learned(self) -> list[float]:
+        return [self.count, self.total, self.at]
+
     def mean(self, prior: float, prior_count: float, now: float) -> float:
         self.fade(now)
         return (self.total + prior * prior_count) / (self.count + prior_count)
@@ -428,6 +439,8 @@
 
 
 class Balancer:
+    """One for each proxy. Where a new process follows an old one, the two act as one balancer."""
+
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self._settings = settings
         self._random = random.Random(seed)
@@ -455,7 +468,9 @@
         self._admission = Admission(settings)
         self._timers: dict[int, str | None] = {}  # token -> request, or None for a renewed watch
         self._last_token = 0
-        self._watch_due = False  # a timer to ask for the list is set
+        self._watch_due = 0  # the token of the timer to ask for the list, where one is set
+        self._hurries = False  # another's place is taken: the list is wanted soon
+        self._yields = False  # another has taken this one's place
         self._watch_failures = 0  # in a row
         self._actions: list[api.Action] = []
 
@@ -481,6 +496,10 @@
                 self._body_ended(event, now)
             case api.SettingsChanged():
                 self._settings_changed(event.settings, now)
+            case api.TakenOver():
+                self._take_over(event.learned)
+            case api.Yielded():
+                self._yields = event.on
         while waiting := self._admission.next(now):
             self._start(waiting, now)
         return self._actions
@@ -504,10 +523,65 @@
         self._budget.limits = settings.attempt_budget or OWN_BUDGET
         self._admission.change(settings)
         if must_ask_now and not self._watch_due:
-            self._set_timer(None, 0.0)
-            self._watch_due = True
+            self._watch_due = self._set_timer(None, 0.0)
         self._choose_subset(now)
 
+    # --- one balancer after another ---
+
+    def learned(self) -> dict[str, Any]:
+        """What a balancer that takes this one's place goes on from; plain values, times on the same clock."""
+        admission, gate, budget = self._admission, self._gate, self._budget
+        return {
+            "records": {name: [record.latency.learned(), record.patience_ms]
+                        for name, record in self._records.items()},
+            "members": {name: [m.entry.started_at, m.failures.learned(), m.slowness.learned(), m.allowed,
+                               m.allowed_at if m.allowed_at >= 0.0 else None]
+                        for name, m in self._members.items()},
+            "averages": [average.learned() for average in self._averages()],
+            "kinds": [[kind, average.learned()] for kind, average in self._kind_slowness.items()],
+            "warm_rate": self._warm_rate,
+            "seconds": [list(row) for row in gate._seconds], "lifetime": list(gate._lifetime),
+            "taken": list(budget._taken), "extra": list(budget._extra),
+            "shares": {name: [share.left, share.at] for name, share in self._shares.items()},
+            "base": [list(mean) for mean in admission.base._means], "started_at": admission.started_at,
+        }
+
+    def _averages(self) -> tuple[Average, ...]:
+        admission = self._admission
+        return (self._failures, *self._zone_slowness, self._warm_sends, self._gate.wins, admission.patience,
+                admission.strained, admission.strain, admission.taken)
+
+    def _take_over(self, learned: Mapping[str, Any]) -> None:
+        """In place of what little this one knows. Servers that have started anew since are left out."""
+        for name, (latency, patience_ms) in learned["records"].items():
+            if record := self._records.get(name):
+                record.latency.take_over(latency)
+                record.patience_ms = float(patience_ms)
+        for name, (started_at, failures, slowness, allowed, allowed_at) in learned["members"].items():
+            member = self._members.get(name)
+            if member and abs(member.entry.started_at - started_at) < SAME_START_MS:
+                member.failures.take_over(failures)
+                member.slowness.take_over(slowness)
+                member.allowed = float(allowed)
+                member.allowed_at = -math.inf if allowed_at is None else float(allowed_at)
+        for average, told in zip(self._averages(), learned["averages"], strict=True):
+            average.take_over(told)
+        for kind, told in learned["kinds"]:
+            self._kind_slowness.setdefault(int(kind), Average()).take_over(told)
+        self._warm_rate = float(learned["warm_rate"])
+        self._gate._seconds = deque([float(at), int(b), int(legs)] for at, b, legs in learned["seconds"])
+        self._gate._lifetime = [int(count) for count in learned["lifetime"]]
+        self._budget._taken = deque(map(float, learned["taken"]))
+        self._budget._extra = deque(map(float, learned["extra"]))
+        for name, (left, at) in learned["shares"].items():
+            if share := self._shares.get(name):
+                share.left, share.at = float(left), None if at is None else float(at)
+        self._admission.base._means = deque((float(at), float(mean)) for at, mean in learned["base"])
+        self._admission.started_at = learned["started_at"]
+        if self._settings.must_ask:
+            self._hurries = True
+            self._watch_due = self._set_timer(None, 0.0)
+
     # --- server list ---
 
     def _list_changed(self, event: api.ListChanged, now: float) -> None:
@@ -516,10 +590,12 @@
         if self._settings.must_ask and not self._watch_due and (failed or event.kind is ListKind.CACHED):
             # Growing pauses spare a slow discovery; half of the time to ask within is never exceeded.
             widest = self._settings.ask_within_ms * min(2.0 ** self._watch_failures / 8, 0.5)
-            self._set_timer(None, self._random.uniform(0.0, widest))
-            self._watch_due = True
+            if self._hurries:
+                widest = min(widest, HURRY_MS * self._watch_failures)
+            self._watch_due = self._set_timer(None, self._random.uniform(0.0, widest))
         if failed:
             return
+        self._hurries = self._hurries and event.kind is ListKind.CACHED
         if event.kind is not ListKind.DELTA:
             listed = {entry.name for entry in event.servers}
             for name in [name for name in self._members if name not in listed]:
@@ -645,7 +721,11 @@
         it would take all, copies and retries too, and fall over. Unknown at the start, when none is warm.
         """
         warmth = self._warmth(member, now)
-        if warmth >= 1.0 or not self._warm_rate:
+        if warmth >= 1.0:
+            return True
+        if self._yields and any(self._warmth(other, now) >= 1.0 for other in self._rotated):
+            return False  # all that a cold server may get is the other's to send
+        if not self._warm_rate:
             return True
         rate = self._warm_rate * member.weight * warmth * self._settings.overload_factor * COLD_MARGIN
         if member.allowed_at < 0.0:
@@ -884,8 +964,9 @@
     def _timer_fired(self, token: int, now: float) -> None:
         request_id = self._timers.pop(token, "")
         if request_id is None:
-            self._watch_due = False
-            self._actions.append(api.Watch())
+            if token == self._watch_due:  # one that another took the place of means nothing
+                self._watch_due = 0
+                self._actions.append(api.Watch())
             return
         request = self._requests.get(request_id)
         if request is None or not request.open or request.timer != token:
@@ -899,7 +980,9 @@
                 attempt.member.failures.add(1.0, now)
                 self._failures.add(1.0, now)
         # Counted only when it left: a copy that no server could take once closed the gate for others.
-        if request.outstanding() == 1 and self._gate.is_open(now) and self._send(request, now):
+        # While another acts in this one's place the share is the other's to use.
+        if (request.outstanding() == 1 and not self._yields and self._gate.is_open(now)
+                and self._send(request, now)):
             self._gate.backup_sent(now)
             request.copied_at = len(request.attempts) - 1
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -69,7 +69,7 @@
 def test_a_proxy_sent_away_before_it_is_able_comes_back_only_when_it_is() -> None:
     life = LifeCycle()
     seen: list[Phase] = []
-    life.changed = seen.append
+    life.listeners.append(seen.append)
     life.evacuate()
     life.able()
     life.rejoin()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,420 @@
+"""From the old process to the new: what goes over, and what is passed over."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from cometdoor import handover
+from cometdoor.__main__ import Succession
+from cometdoor.handover import Handover
+from cometdoor.lifecycle import LifeCycle, Phase
+from cometdoor.proxy import Proxy
+from cometdoor.upstream import Descriptors
+from jasperhall import api
+from jasperhall.api import Outcome, State
+from jasperhall.balancer import Balancer
+from tests.harness import SAFE, SETTINGS, Checker, servers
+from tests.rig import Caller, FakeServer, Rig, Script, first_to, make_config, member, run
+from tests.test_control import call, launch
+from tests.test_process import free_port, until_serving
+
+
+def process(folder: Path) -> Handover:
+    life = LifeCycle()
+    made = Handover(asyncio.get_running_loop(), folder, life)
+    made.announce()
+    return made
+
+
+def die(made: Handover) -> None:
+    """As the kernel sees it when a process is killed: its lock is gone, its files are not."""
+    os.close(made._lock)
+    made._lock = -1
+
+
+def test_each_sees_the_other_as_long_as_it_lives(tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new = process(tmp_path), process(tmp_path)
+        for one in (old, new):
+            one.look()
+        assert [peer.start for peer in old.peers] == [new.start]
+        assert (old.is_followed(), old.is_succeeded(), new.is_followed()) == (True, False, False)
+        new._life.able()
+        old.look()
+        assert old.is_succeeded()
+        die(new)
+        old.look()
+        assert (old.peers, old.is_succeeded()) == ([], False)
+        assert [path.suffix for path in tmp_path.iterdir()].count(".mark") == 1  # the dead one's went
+        old.close()
+        assert list(tmp_path.iterdir()) == []
+
+    run(test)
+
+
+def test_the_new_one_gets_what_the_old_one_knows(tmp_path: Path) -> None:
+    async def test() -> None:
+        old = process(tmp_path)
+        old.learned = lambda: {"list": [1, 2]}
+        old.watch()
+        new = process(tmp_path)
+        told = await new.ask()
+        assert told is not None and told["list"] == [1, 2]
+        third = process(tmp_path)
+        new.learned = lambda: {"list": [3]}
+        new.watch()
+        told = await third.ask()  # of the newest before it
+        assert told is not None and told["list"] == [3]
+        for one in (old, new, third):
+            one.close()
+
+    run(test)
+
+
+def test_a_first_process_waits_for_nobody(tmp_path: Path) -> None:
+    async def test() -> None:
+        dead = process(tmp_path)
+        dead._tell(7)
+        die(dead)
+        (tmp_path / "cometdoor-12.mark").write_bytes(b"{}")
+        (tmp_path / "cometdoor-x.mark").write_bytes(b"")
+        (tmp_path / "other").write_bytes(b"")
+        with mock.patch("cometdoor.handover.WAIT_S", 3600.0):
+            assert await process(tmp_path).ask() is None
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "state", ["", "{", "[]", "null", '{"at": "x", "for": 1}', "stale", "another's", "early"])
+def test_a_state_that_is_broken_stale_or_not_for_this_one_is_passed_over(state: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new = process(tmp_path), process(tmp_path)
+        now = time.monotonic()
+        text = {"stale": {"at": now - 60.0, "for": new.start}, "another's": {"at": now, "for": 7},
+                "early": {"at": now + 60.0, "for": new.start}}.get(state)
+        path = old._path(old.start, handover.STATE)
+        path.write_text(state if text is None else json.dumps(text))
+        with mock.patch("cometdoor.handover.WAIT_S", 0.1):
+            assert await new.ask() is None
+        path.write_text(json.dumps({"at": time.monotonic(), "for": new.start}))
+        assert await new.ask() is not None
+
+    run(test)
+
+
+def test_half_a_mark_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new = process(tmp_path), process(tmp_path)
+        new._life.able()
+        old.look()
+        before = old.peers
+        for half in (b"", b'{"phase":"serv', b'{"phase":"serving"}'):
+            new._mark.write_bytes(half)
+            old.look()
+            assert old.peers == before
+
+    run(test)
+
+
+def test_what_is_ordered_at_one_holds_at_both_and_the_later_order_counts(tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new = process(tmp_path), process(tmp_path)
+        old._life.able()
+        old._life.evacuate()
+        new.look()
+        new._life.able()
+        assert (new._life.phase, new._life.is_up()) == (Phase.EVACUATING, False)
+        assert new._life.takes_clients()  # else the platform would give up the new version
+        new._life.rejoin()
+        new.look()
+        old.look()
+        assert (old._life.phase, new._life.phase) == (Phase.SERVING, Phase.SERVING)
+        new._life.evacuate()
+        assert not new._life.takes_clients()
+        old.look()
+        old._life.leave()
+        assert (old._life.phase, old._life.is_up()) == (Phase.LEAVING, False)
+
+    run(test)
+
+
+def test_descriptors_and_memory_of_both_together_stay_within_the_limits(tmp_path: Path) -> None:
+    async def test() -> None:
+        sockets = 200
+        sides = []
+        for _ in range(2):
+            rig = await Rig().start(sockets=sockets)
+            sides.append((rig, process(tmp_path)))
+            Succession(rig.config, sides[-1][1], rig.proxy, rig.front)
+        (old, old_side), (new, new_side) = sides
+        alone, memory = old.descriptors.limit, old.budget.total
+        callers = [await old.caller() for _ in range(40)]
+
+        def together() -> int:
+            for side in (old_side, new_side, old_side, new_side):
+                side.look()
+            assert old.budget.total == new.budget.total == memory // 2
+            return old.descriptors.limit + new.descriptors.limit + 2 * Descriptors.RESERVE
+
+        assert together() <= sockets
+        assert old.descriptors.limit == sockets // 2 - Descriptors.RESERVE
+        new_side._life.able()
+        assert together() <= sockets
+        assert old.descriptors.limit == 44
+        for caller in callers[:30]:
+            caller.writer.close()
+        while len(old.front.connections) > 10:
+            await asyncio.sleep(0.01)
+        assert together() <= sockets
+        assert old.descriptors.limit == 14  # what the old one gives up the new one has
+        old_side.close()
+        new_side.look()
+        assert (new.descriptors.limit, new.budget.total) == (alone, memory)
+
+    run(test)
+
+
+def test_the_old_one_gives_its_idle_connections_back_and_takes_its_place_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            side = process(tmp_path)
+            Succession(rig.config, side, rig.proxy, rig.front)
+            side.learned = lambda: {}
+            caller = await rig.caller()
+            caller.ask()
+            kept = await backend.next()
+            kept.reply(200)
+            await caller.answer()
+            new = process(tmp_path)
+            new._life.able()
+            side.look()
+            await kept.closed()
+            assert script.events[-1] == api.Yielded(True)
+            die(new)
+            side.look()
+            assert script.events[-1] == api.Yielded(False)
+
+    run(test)
+
+
+# --- the module ---
+
+
+def busy(checker: Checker) -> None:
+    """Some seconds of service, with copies and a slow server."""
+    for number in range(60):
+        name = f"r{number}"
+        checker.request(name)
+        checker.advance(20.0)
+        sent = checker.owed[name].sent[0]
+        checker.advance(700.0 if number % 15 == 0 else 10.0)
+        if sent.outcome is None:
+            checker.end(name, 0, Outcome.OK)
+        for attempt in checker.owed[name].outstanding():
+            checker.end(name, attempt, Outcome.CANCELLED)
+
+
+def follow(old: Checker, *entries: api.Server) -> Checker:
+    """A new process that has the old one's list and what it learned, by way of a file."""
+    new = Checker(old.settings, seed=2)
+    new.now = old.now
+    new.list_servers(*entries, kind=api.ListKind.CACHED)
+    new.feed(api.TakenOver(json.loads(json.dumps(old.balancer.learned()))))
+    return new
+
+
+def test_the_new_one_goes_on_with_what_the_old_one_learned() -> None:
+    old = Checker()
+    old.list_servers(*servers(6))
+    busy(old)
+    new = follow(old, *servers(6))
+    assert new.balancer.learned() == old.balancer.learned()
+    assert new.balancer._gate.is_open(new.now) == old.balancer._gate.is_open(old.now)
+    assert new.balancer._admission.limit(new.now) == pytest.approx(old.balancer._admission.limit(old.now))
+    assert new.balancer._budget.allows_one(new.now) == old.balancer._budget.allows_one(old.now)
+
+
+def test_what_was_learned_of_a_server_that_started_anew_is_left_out() -> None:
+    old = Checker()
+    old.list_servers(*servers(3))
+    busy(old)
+    first, *others = servers(3)
+    new = follow(old, replace(first, started_at=old.now - 500.0), *others)
+    assert new.balancer._members[first.name].failures.count == 0.0
+    assert new.balancer._members[others[0].name].failures.count > 0.0
+
+
+def test_the_new_one_asks_for_the_list_at_once_and_again_soon() -> None:
+    settings = replace(SETTINGS, must_ask=True, ask_within_ms=10_000.0)
+    old = Checker(settings)
+    old.list_servers(*servers(3))
+    new = follow(old, *servers(3))
+    assert (new.now, new.balancer._watch_due) in new.timers
+    assert new.feed(api.TimerFired(new.balancer._watch_due)) == [api.Watch()]
+    stale = [token for _, token in new.timers if token != new.balancer._watch_due]
+    assert all(new.feed(api.TimerFired(token)) == [] for token in stale)  # no second call
+    for failures in (1, 2):
+        (timer,) = new.feed(api.ListChanged(api.ListKind.FAILED))
+        assert isinstance(timer, api.SetTimer) and timer.after_ms <= 300.0 * failures
+        new.feed(api.TimerFired(timer.token))
+
+
+def test_the_one_that_yields_sends_no_copy_and_spares_cold_servers() -> None:
+    settings = replace(SETTINGS, cold_from=0.2, warm_up_ms=60_000.0)
+    for yields in (False, True):
+        checker = Checker(settings)
+        warm = servers(4)
+        cold = api.Server("cold", started_at=checker.now - 1000.0)
+        checker.list_servers(*warm, cold)
+        busy(checker)
+        checker.feed(api.Yielded(yields))
+        before = sum(sent.server.name == "cold" for owed in checker.owed.values() for sent in owed.sent)
+        copies = len(checker.extra)
+        for number in range(200):
+            checker.request(f"n{number}")
+            checker.advance(30.0)
+            checker.end(f"n{number}", 0, Outcome.OK)
+        checker.request("slow", 0)
+        checker.advance(SAFE.aim_ms * 0.8)
+        now = sum(sent.server.name == "cold" for owed in checker.owed.values() for sent in owed.sent)
+        assert (now > before) is not yields
+        assert (len(checker.extra) > copies) is not yields
+
+
+def test_with_no_warm_server_left_the_one_that_yields_still_serves() -> None:
+    checker = Checker(replace(SETTINGS, cold_from=0.2, warm_up_ms=60_000.0))
+    checker.list_servers(api.Server("cold", started_at=checker.now - 1000.0))
+    checker.feed(api.Yielded(True))
+    assert any(isinstance(action, api.Send) for action in checker.request("r"))
+
+
+# --- the whole program ---
+
+
+def known_list(*members: dict[str, Any]) -> dict[str, Any]:
+    return {"revision": 50, "complete": True, "members": list(members)}
+
+
+@pytest.mark.parametrize("spoil", ["nothing", "list", "member", "learned", "averages"])
+def test_what_another_version_wrote_is_used_whole_or_not_at_all(spoil: str) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        rig = await Rig().start(member("s1", backend.address), discovery="127.0.0.1:2")
+        told: dict[str, Any] = {"list": known_list(member("s2", backend.address)),
+                                "learned": Balancer(rig.config.settings, 1).learned()}
+        match spoil:
+            case "list":
+                del told["list"]
+            case "member":
+                told["list"]["members"][0]["phase"] = "unheard of"
+            case "learned":
+                told["learned"] = []
+            case "averages":
+                told["learned"]["averages"] = [[1.0, 2.0]]
+        proxy = Proxy(rig.config, asyncio.get_running_loop(), rig.descriptors, rig.budget, LifeCycle(), told)
+        assert set(proxy._addresses) == ({"s2"} if spoil == "nothing" else {"s1"})
+
+    run(test)
+
+
+def test_the_list_that_goes_over_is_the_one_as_discovery_last_told_it() -> None:
+    async def test() -> None:
+        discovery = await FakeServer().start()
+        rig = await Rig().start(member("s1", "127.0.0.1:7"), discovery=discovery.address)
+        watch = await discovery.next()
+        watch.open_stream()
+        watch.send_list(60, False, member("s2", "127.0.0.1:8", phase="terminating"),
+                        member("s1", "127.0.0.1:7", phase="terminated"))
+        while "s1" in rig.proxy._addresses:
+            await asyncio.sleep(0.01)
+        told = json.loads(json.dumps(rig.proxy.learned()))
+        assert (told["list"]["revision"], told["list"]["complete"]) == (60, True)
+        (entry,) = told["list"]["members"]
+        assert (entry["id"], entry["phase"]) == ("s2", "terminating")
+        heir = await Rig().start(discovery=discovery.address)
+        servers_told, _ = heir.proxy._discovery.reader.read(told["list"])
+        assert servers_told[0].state is State.DRAINING
+
+    run(test)
+
+
+def test_two_upgrades_in_a_row_turn_nobody_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        shared = tmp_path / "shared"
+        shared.mkdir()
+
+        async def answer_all() -> None:
+            while True:
+                asked = await backend.next()
+                asked.reply(200, asked.message.headers["x-trace-id"].encode())
+
+        async def ask_on(number: int) -> int:
+            """A client that keeps its connection, and asks once more where it was closed between requests."""
+            asked, caller = 0, None
+            while not over.is_set():
+                asked += 1
+                trace = f"{number}-{asked}"
+                for _ in range(2):
+                    if caller is None:
+                        caller = Caller(*await asyncio.open_connection(*address))
+                    caller.ask(trace=trace)
+                    try:
+                        answer = await caller.answer()
+                    except (asyncio.IncompleteReadError, ConnectionError):
+                        caller = None
+                        continue
+                    break
+                assert answer.body == trace.encode()
+                if answer.headers.get("connection") == "close":
+                    caller = None
+                await asyncio.sleep(0.01)
+            return asked
+
+        over = asyncio.Event()
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(64)
+            address = listener.getsockname()
+            listen = "{}:{}".format(*address)
+            answering = asyncio.ensure_future(answer_all())
+            clients: list[asyncio.Task[int]] = []
+            old = None
+            for _ in range(3):
+                door = ("127.0.0.1", free_port())
+                config = make_config(listen, "127.0.0.1:1", member("s1", backend.address), group_size=1)
+                new = await launch({**config, "control": "{}:{}".format(*door)}, tmp_path, listener.fileno(),
+                                   NODE_INHERITED_FD=str(listener.fileno()), TMPDIR=str(shared))
+                await until_serving(new)
+                assert (await call(door, "GET /api/ready")).status == 200
+                if old is None:
+                    clients = [asyncio.ensure_future(ask_on(number)) for number in range(8)]
+                else:
+                    old.send_signal(signal.SIGTERM)
+                    assert await old.wait() == 0
+                await asyncio.sleep(0.2)
+                old = new
+            over.set()
+            assert min(await asyncio.gather(*clients)) > 10
+            assert old is not None
+            old.send_signal(signal.SIGTERM)
+            assert await old.wait() == 0
+            answering.cancel()
+        assert list(shared.iterdir()) == []
+
+    run(test)
