Renumber known servers with new zones, keep HTTP/1.0 connections, pass over a broken known list

Found on review of the new parts: zones that change their order with SIGHUP left the servers their old numbers; an HTTP/1.0 caller that asked for keep-alive wasn't told that it has it; a known list that can't be read ended the start with a traceback. Each with a test that fails without it.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -35,11 +35,14 @@
     """Discovery's form to the module's: names to numbers, Unix time to the module's clock."""
 
     def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
-        self._zones = {name: number for number, name in enumerate(zones)}
-        self._kinds = {name: number for number, name in enumerate(kinds)}
+        self.renumber(zones, kinds)
         # Fixed at the start: a clock that is set later must not make every backend look restarted.
         self._unix_ahead_ms = time.time() * 1000.0 - time.monotonic() * 1000.0
 
+    def renumber(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
+        self._zones = {name: number for number, name in enumerate(zones)}
+        self._kinds = {name: number for number, name in enumerate(kinds)}
+
     def read(self, message: dict[str, Any]) -> tuple[list[Server], dict[str, Address]]:
         servers, addresses = [], {}
         for member in message.get("members") or ():
--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -447,7 +447,8 @@
         if request is None or self._transport is None or self._is_over():
             return
         keep = self._keeps(request)
-        self._transport.write(self._head(status, headers, b"Content-Length: %d\r\n" % len(body), keep) + body)
+        length = b"Content-Length: %d\r\n" % len(body)
+        self._transport.write(self._head(status, headers, length, keep, request.is_old) + body)
         self._go_on(keep, request.is_coming())
 
     def begin_answer(self, headers: Headers, length: int | None, source: Source) -> bool:
@@ -462,7 +463,7 @@
         framing = (b"Content-Length: %d\r\n" % length if length is not None else
                    b"Transfer-Encoding: chunked\r\n" if self._in_chunks else b"")
         request.keep_alive = self._keeps(request)  # said now, so it holds to the end
-        self._transport.write(self._head(200, headers, framing, request.keep_alive))
+        self._transport.write(self._head(200, headers, framing, request.keep_alive, request.is_old))
         return True
 
     def pass_on(self, data: bytes) -> None:
@@ -501,10 +502,14 @@
                 and not (self._front.closing and not self._ahead))
 
     @staticmethod
-    def _head(status: int, headers: Headers, framing: bytes, keep: bool) -> bytes:
+    def _head(status: int, headers: Headers, framing: bytes, keep: bool, is_old: bool) -> bytes:
         lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS[status]), framing]
         lines += [b"%s: %s\r\n" % header for header in headers if header[0].lower() not in PER_HOP]
-        lines.append(b"\r\n" if keep else b"Connection: close\r\n\r\n")
+        if not keep:
+            lines.append(b"Connection: close\r\n")
+        elif is_old:
+            lines.append(b"Connection: keep-alive\r\n")  # else such a caller takes it for closed
+        lines.append(b"\r\n")
         return b"".join(lines)
 
     def _go_on(self, keep: bool, is_coming: bool = False) -> None:
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -146,7 +146,7 @@
         self._unserved = UnservedLog()
         reader = ListReader(config.zones, config.kinds)
         told = told if told is not None and self._can_use(told, reader) else None
-        known = told["list"] if told is not None else config.known
+        known = told["list"] if told is not None else self._known(reader)
         self._discovery = Discovery(
             loop, config.discovery, reader, config.settings.must_ask, known, self._list_changed)
         servers, addresses = reader.read(known)
@@ -155,6 +155,14 @@
             self._dispatch(api.TakenOver(told["learned"]))
             log.info("taken over: %d servers at revision %s", len(servers), known["revision"])
 
+    def _known(self, reader: ListReader) -> dict[str, Any]:
+        try:
+            reader.read(self._config.known)
+        except (KeyError, ValueError, TypeError, AttributeError) as problem:
+            log.error("the list in the configuration is of no use: %s: %s", type(problem).__name__, problem)
+            return {}
+        return self._config.known
+
     def _can_use(self, told: dict[str, Any], reader: ListReader) -> bool:
         """Another version may have written it: it is tried out on a module that is thrown away."""
         try:
@@ -189,10 +197,16 @@
 
     def reconfigure(self, config: NodeConfig) -> None:
         """New settings, whole; what the machine has and where it listens holds until the next start."""
-        self._config = config
+        before, self._config = self._config, config
         self._pool.change(config.idle_close_ms, config.connect_timeout_ms)
         self._discovery.move(config.discovery)
         self._dispatch(api.SettingsChanged(config.settings))
+        if (config.zones, config.kinds) != (before.zones, before.kinds):
+            # Zones and kinds go by their places: the servers that are known get their new numbers.
+            reader = self._discovery.reader
+            reader.renumber(config.zones, config.kinds)
+            servers, addresses = reader.read(self._discovery.whole_list())
+            self._list_changed(api.ListChanged(ListKind.FULL, tuple(servers)), addresses)
         self._discovery.change(config.settings.must_ask)
 
     def owes_answers(self) -> bool:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import Any
 from unittest import mock
@@ -162,3 +163,21 @@
     assert addresses["s2"] == ("127.0.0.1", 2)
     again = reader.read(message)[0]
     assert [one, two] == again  # a start that seems to change would look like a restart
+
+
+@pytest.mark.parametrize(
+    "known", [{"members": [{}]}, {"members": 7}, {"members": [{"id": "s1", "phase": "odd"}]}])
+def test_a_known_list_that_can_not_be_read_leaves_discovery_to_tell(known: dict[str, Any]) -> None:
+    async def test() -> None:
+        discovery, backend = await FakeServer().start(), await FakeServer().start()
+        with mock.patch("tests.rig.make_config", lambda *args, **more: {**make_config(*args, **more),
+                                                                         "known": known}):
+            rig = await Rig().start(discovery=discovery.address)
+        assert not rig.life.is_up()
+        call = await discovery.next()
+        call.open_stream()
+        call.send_list(1, True, member("s1", backend.address))
+        while not rig.life.is_up():
+            await asyncio.sleep(0.01)
+
+    run(test)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -332,3 +332,16 @@
             assert not going.reader.at_eof()
 
     run(test)
+
+
+def test_a_caller_of_http_1_0_is_told_that_its_connection_stays() -> None:
+    async def test() -> None:
+        rig = await Rig().start()
+        caller = await rig.caller()
+        for _ in range(2):
+            caller.writer.write(head("GET /up HTTP/1.0", "Connection: keep-alive"))
+            assert (await caller.answer()).headers["connection"] == "keep-alive"
+        caller.writer.write(head("GET /up HTTP/1.0"))
+        assert (await caller.answer()).headers["connection"] == "close"
+
+    run(test)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -275,3 +275,18 @@
     slow = replace(READ, name="slow", aim_ms=4000)
     checker.feed(api.SettingsChanged(replace(SETTINGS, classes=(READ, slow))))
     assert checker.balancer._admission.limit(checker.now) == pytest.approx(before, rel=0.3)
+
+
+def test_zones_in_another_order_give_the_known_servers_their_new_numbers(tmp_path: Path) -> None:
+    async def test() -> None:
+        with Script().in_place() as script:
+            rig = await Rig().start(member("s1", "127.0.0.1:7"), member("s2", "127.0.0.1:8", locality="b"),
+                                    zones=["a", "b"])
+            running = Running(tmp_path, rig)
+            await script.until(api.ListChanged)
+            running.take(new_lanes(*LANES, zones=["c", "b", "a"]))
+            changed = await script.until(api.ListChanged)
+            assert [(server.name, server.zone) for server in changed.servers] == [("s1", 2), ("s2", 1)]
+            assert set(rig.proxy._addresses) == {"s1", "s2"}
+
+    run(test)
