Don't judge a server by a client that leaves in the middle of a long body

Found on review: the attempt of a client that left after seconds of up- or download ended as called off, and its whole time counted as the server's slowness (Balancer._attempt_ended).

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -1049,10 +1049,13 @@
             self._budget.never_sent(attempt.sent_at)
         self._gate.leg_completed(now)
         is_answer = event.outcome is Outcome.OK and request.open and not attempt.streams
+        # How long a body took on its way, in or out, is the client's doing.
+        is_clients = (attempt.streams and event.outcome in (Outcome.OK, Outcome.CANCELLED)) or (
+            request.coming and event.outcome is Outcome.CANCELLED)
         # The server has nothing to do with a connection that was dropped on the way.
         if self._idle.is_reaped(attempt, event.outcome, now):
             self._actions.append(api.Close(attempt.member.name))
-        elif not attempt.streams or event.outcome is not Outcome.OK:
+        elif not is_clients:
             self._judge(attempt, request, event.outcome, now)
         if event.outcome in (Outcome.OK, Outcome.ERROR):
             attempt.member.used_at = now
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -228,3 +228,24 @@
     (latency,) = (record.latency for record in checker.balancer._record_at if record.latency.at)
     assert latency.mean(0.0, 0.0, latency.at) == pytest.approx(30.0)
     assert not checker.balancer._requests
+
+
+@pytest.mark.parametrize("way", ["in", "out"])
+def test_a_client_that_leaves_in_the_middle_of_a_long_body_tells_nothing_of_the_server(way: str) -> None:
+    checker = Checker()
+    checker.list_servers(*servers(6))
+    for number in range(30):
+        checker.request(f"w{number}")
+        checker.now += 20.0
+        checker.end(f"w{number}", 0, Outcome.OK)
+    checker.owed["r"] = Owed(checker.settings.classes[0], math.inf)
+    checker.feed(api.RequestArrived("r", 0, 3000.0, is_coming=way == "in"))
+    member = checker.balancer._members[checker.owed["r"].sent[0].server.name]
+    if way == "out":
+        checker.now += 20.0
+        checker.feed(api.StreamStarted("r", 0))
+    before = member.slowness.mean(1.0, 3.0, checker.now)
+    checker.now += 5_000.0
+    checker.gone("r")
+    checker.end("r", 0, Outcome.CANCELLED)
+    assert member.slowness.mean(1.0, 3.0, checker.now) <= max(before, 1.0)
