Take back the near share that went by an entry's arrivals

Entries get uneven parts of the traffic there too, and what one takes from its own zone the others' zones get on top of theirs. Stays open: an entry that is left alone.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -52,8 +52,6 @@
 SAME_MS = 50.0  # patience that differs by less is the same: what is left varies with the way here
 LOCAL_POWER = 3.0  # answers of the own zone half again as slow as others take most of that away
 LOCAL_PREFERENCE = 6.0  # how much more a server of the own zone counts where crossing has a price
-PRESS_MS = 2_000.0  # over so long it is seen that more comes to an entry than its part
-PRESS_STEP = 0.1
 REAP_MEMORY_MS = 30_000.0  # so long idle connections are closed by us after one was lost: then try anew
 REAP_MARGIN = 0.5  # of the shortest idle time that was lost, from where on a connection is not trusted
 MIN_SUBSET = 5  # servers that a balancer rotates over at the least: enough to judge one by its peers
@@ -462,9 +460,6 @@
         self._budget = AttemptBudget(settings.attempt_budget or OWN_BUDGET)
         self._rotated: list[Member] = []  # the ready servers of this balancer's subset
         self._fair_preference = LOCAL_PREFERENCE
-        self._near = (0.0, 0.0, 0.0)  # the own zone's part of all weights; its weight here, and the others'
-        self._arrivals = Average(PRESS_MS)
-        self._press = 1.0  # how many times its part of the traffic comes to this entry
         self._warm_weight = 1.0  # of the servers in the rotation that are warm
         self._warm_sends = Average()
         self._warm_rate = 0.0  # sends in a ms and for each weight to warm servers, when there last were any
@@ -645,7 +640,6 @@
             self._cover([m for m in ready if m.entry.zone != settings.zone], settings.balancers)
             self._limit_preference(ready, len(zones))
         else:
-            self._near = (0.0, 0.0, 0.0)
             self._cover(ready, settings.balancers)
         self._rotated = [member for member in ready if member.weight > 0.0]
         for member in self._rotated:
@@ -664,34 +658,14 @@
         """
         zone, balancers = self._settings.zone, self._settings.balancers
         near = sum(m.part() for m in ready if m.entry.zone == zone) / sum(m.part() for m in ready)
-        self._near = (near * balancers / max(balancers / zones, 1.0),
-                      sum(m.weight for m in ready if m.entry.zone == zone),
-                      sum(m.weight for m in ready if m.entry.zone != zone))
-        self._set_preference()
-
-    def _set_preference(self) -> None:
-        most, near_weight, far_weight = self._near
-        most /= self._press  # of what this one sends, to its own zone
+        most = near * balancers / max(balancers / zones, 1.0)  # of what this one sends, to its own zone
+        near_weight = sum(m.weight for m in ready if m.entry.zone == zone)
+        far_weight = sum(m.weight for m in ready if m.entry.zone != zone)
         self._fair_preference = LOCAL_PREFERENCE
         if most < 1.0:
             fair = most * far_weight / (near_weight * (1.0 - most))
             self._fair_preference = min(max(fair, 1.0), LOCAL_PREFERENCE)
 
-    def _note_arrival(self, now: float) -> None:
-        """Guards against an entry that gets the traffic of others, as when they are emptied or down: its own
-        zone would have to bear its part of all that, and chokes. It harms where tenants keep far below their
-        allowances: then it sees less than there is.
-        """
-        self._arrivals.add(1.0, now)
-        fair = sum(share.rate for share in self._share_at) * PRESS_MS
-        if self._settings.tier or not fair:
-            return
-        press = max(self._arrivals.total / fair, 1.0)
-        if abs(press - self._press) > PRESS_STEP * self._press:
-            self._press = press
-            if self._near[1]:
-                self._set_preference()
-
     def _cover(self, ring: list[Member], balancers: float) -> None:
         weights = [member.part() for member in ring]
         total = sum(weights)
@@ -871,7 +845,6 @@
         request = self._requests[event.request] = Request(
             event, cls, record, self._settings.max_attempts, worth, now)
         self._budget.request_taken(now)
-        self._note_arrival(now)
         if self._settings.tier or self._admission.has_room(request, now):
             self._start(request, now)
         else:
