--- /dev/null
+++ b/mastlift/durable/commit.py
@@ -0,0 +1,112 @@
+"""Group commit: the writes of many callers become durable with one sync (Gawlick and Kinkade, 1985).
+
+While one group is synced in a thread of its own, the next gathers. The log stays free of asyncio; this is its driver.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Generic, TypeVar
+
+from mastlift.durable.disk import DiskFailed, DiskFull
+from mastlift.durable.journal import Journal
+
+T = TypeVar("T")
+GROUP_BYTES = 1 << 20
+MARK_AFTER_S = 0.01  # idle for so long: say durably that the last sync came back
+
+
+class GroupCommit(Generic[T]):
+    """`submit` items; `done` is told of them in order once they are durable, `full` of those that found no room.
+
+    `failed` is told once that the disk has failed: nothing more is durable, and the process has to end."""
+
+    def __init__(self, journal: Journal, encode: Callable[[list[T]], bytes], done: Callable[[int, list[T]], None],
+                 full: Callable[[list[T], DiskFull], None], failed: Callable[[DiskFailed], None],
+                 group_items: int = 1024) -> None:
+        self.journal, self.group_items = journal, group_items
+        self._encode, self._done, self._full, self._failed = encode, done, full, failed
+        self._waiting: deque[tuple[T, int]] = deque()
+        self.waiting_bytes = 0
+        self._wake = asyncio.Event()
+        self._thread = ThreadPoolExecutor(1, "log")
+        self._task = asyncio.create_task(self._run())
+        self._stopping = self._no_room = False
+        self.groups = 0
+
+    def __len__(self) -> int:
+        """How many items wait for their sync to begin."""
+        return len(self._waiting)
+
+    def submit(self, item: T, size: int) -> None:
+        """`size` is about the item's bytes."""
+        if self._stopping:
+            raise RuntimeError("the log is being closed")
+        self._waiting.append((item, size))
+        self.waiting_bytes += size
+        self._wake.set()
+
+    def _take(self) -> list[T]:
+        taken: list[T] = []
+        size, waiting = 0, self._waiting
+        while waiting and len(taken) < self.group_items and size < GROUP_BYTES:
+            item, weight = waiting.popleft()
+            taken.append(item)
+            size += weight
+        self.waiting_bytes -= size
+        return taken
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        durable: tuple[int, list[T]] | None = None
+        try:
+            while True:
+                group = self._take()
+                if not group:
+                    self._wake.clear()
+                    if self._stopping:
+                        return
+                    await self._idle(loop)
+                    continue
+                self.groups += 1
+                while group:
+                    first, written = None, loop.run_in_executor(self._thread, self.journal.append, len(group),
+                                                                self._encode(group))
+                    if durable:  # answer the group before while this one is synced
+                        self._done(*durable)
+                        durable = None
+                    try:
+                        first = await written
+                    except DiskFull as error:
+                        self._full(group, error)
+                    if first is not None:
+                        durable = first, group
+                    group = self._take()
+                if durable:
+                    self._done(*durable)
+                    durable = None
+        except DiskFailed as error:
+            self._failed(error)
+
+    async def _idle(self, loop: asyncio.AbstractEventLoop) -> None:
+        pause = None if self.journal.marked else 1.0 if self._no_room else MARK_AFTER_S
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._wake.wait(), pause)
+            return
+        try:
+            await loop.run_in_executor(self._thread, self.journal.mark)
+            self._no_room = False
+        except DiskFull:
+            self._no_room = True
+
+    async def stop(self) -> None:
+        """Make durable what waits, mark the end and close the log."""
+        self._stopping = True
+        self._wake.set()
+        await self._task
+        await asyncio.get_running_loop().run_in_executor(self._thread, self.journal.close)
+        self._thread.shutdown()
--- /dev/null
+++ b/mastlift/durable/snapshot.py
@@ -0,0 +1,127 @@
+"""A snapshot on disk: a header, blocks whose checksums go on from one another, and an end that counts them.
+
+It is written in slices beside the log's writes, under a temporary name, and gets its name only once it is durable, so
+that a snapshot with a name that is not whole was damaged later.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from mastlift.durable.disk import TEMPORARY, Disk, File
+from mastlift.durable.frames import FORMAT, LIFE_SIZE, OLDEST_FORMAT, NewerFormat, Unreadable, checksum
+
+MAGIC, END_MAGIC = 0x4E534C4D, 0x45534C4D  # "MLSN", "MLSE"
+_HEAD = struct.Struct("<IHH16sQQI")  # magic, format, 0, life, index, term, checksum
+_BLOCK = struct.Struct("<II")  # bytes, checksum going on from the one before
+_END = struct.Struct("<IIQI")  # magic, blocks, bytes in them, checksum
+LARGEST_BLOCK = 64 << 20
+SYNC_EVERY = 4 << 20  # bytes: a large sync at the end would hold up the log's syncs
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotHead:
+    version: int
+    life: bytes
+    index: int  # the last entry that is in the state
+    term: int
+
+
+def snapshot_name(index: int) -> str:
+    return f"snap-{index:020d}.snap"
+
+
+def snapshot_index(name: str) -> int | None:
+    """The index in a snapshot's name; None for other files."""
+    number = name.removeprefix("snap-").removesuffix(".snap")
+    return int(number) if name == f"snap-{number}.snap" and len(number) == 20 and number.isdecimal() else None
+
+
+class SnapshotWriter:
+    """Writes one snapshot. Each call may block; `finish` returns once the snapshot is durable under its name.
+
+    Raises DiskFull or DiskFailed from any call; `abandon` then removes what stands."""
+
+    def __init__(self, disk: Disk, head: SnapshotHead, name: str = "") -> None:
+        self._disk, self._name = disk, name or snapshot_name(head.index)
+        self._file: File = disk.create(self._name + TEMPORARY)
+        data = _HEAD.pack(MAGIC, head.version, 0, head.life, head.index, head.term, 0)[:-4]
+        self._check = checksum(data)
+        self._file.write(data + struct.pack("<I", self._check))
+        self._blocks = self._bytes = self._unsynced = 0
+
+    def write(self, block: bytes) -> None:
+        if not 0 < len(block) <= LARGEST_BLOCK:
+            raise ValueError(f"a block of {len(block)} bytes")
+        self._check = checksum(block, self._check)
+        self._file.write(_BLOCK.pack(len(block), self._check) + block)
+        self._blocks, self._bytes = self._blocks + 1, self._bytes + len(block)
+        self._unsynced += len(block)
+        if self._unsynced >= SYNC_EVERY:
+            self._file.sync()
+            self._unsynced = 0
+
+    def finish(self) -> None:
+        end = _END.pack(END_MAGIC, self._blocks, self._bytes, 0)[:-4]
+        self._file.write(_BLOCK.pack(0, 0) + end + struct.pack("<I", checksum(end, self._check)))
+        self._file.sync()
+        self._file.close()
+        self._disk.rename(self._name + TEMPORARY, self._name)
+        self._disk.sync_names()
+
+    def abandon(self) -> None:
+        self._file.close()
+        if self._name + TEMPORARY in self._disk.names():
+            self._disk.unlink(self._name + TEMPORARY)
+
+
+class SnapshotReader:
+    """Reads a snapshot block by block; memory holds one block. Offsets in the errors are in bytes."""
+
+    def __init__(self, disk: Disk, name: str) -> None:
+        self._disk, self._name, self.offset = disk, name, 0
+        data = self._take(_HEAD.size)
+        magic, version, zero, life, index, term, check = _HEAD.unpack(data)
+        if magic != MAGIC:
+            raise Unreadable("this is no snapshot")
+        if check != checksum(data[:-4]) or version < OLDEST_FORMAT or zero:
+            raise Unreadable("the snapshot's header does not match its checksum")
+        if version > FORMAT:
+            raise NewerFormat(f"written in format {version}; this program reads {OLDEST_FORMAT} to {FORMAT}")
+        if len(life) != LIFE_SIZE or snapshot_index(name) not in (None, index):
+            raise Unreadable(f"the snapshot is of index {index}, not of the one in its name")
+        self.head, self._check = SnapshotHead(version, life, index, term), check
+
+    def _take(self, size: int) -> bytes:
+        data = self._disk.read(self._name, self.offset, size)
+        if len(data) < size:
+            raise Unreadable(f"the snapshot is cut short: {len(data)} of {size} bytes")
+        self.offset += size
+        return data
+
+    def blocks(self) -> Iterator[bytes]:
+        """The blocks in order. Raises Unreadable, at the latest after the last block: until then nothing is proven."""
+        count = total = 0
+        while True:
+            start = self.offset
+            size, check = _BLOCK.unpack(self._take(_BLOCK.size))
+            if not size:
+                break
+            if size > LARGEST_BLOCK:
+                self.offset = start
+                raise Unreadable(f"a block of {size} bytes")
+            block = self._take(size)
+            self._check = checksum(block, self._check)
+            if self._check != check:
+                self.offset = start
+                raise Unreadable("a block does not match its checksum")
+            count, total = count + 1, total + size
+            yield block
+        end = self._take(_END.size)
+        magic, blocks, expected, check = _END.unpack(end)
+        if (magic, blocks, expected, check) != (END_MAGIC, count, total, checksum(end[:-4], self._check)):
+            raise Unreadable("the snapshot's end does not match its blocks")
+        if self._disk.size(self._name) != self.offset:
+            raise Unreadable("there are bytes behind the snapshot's end")
--- /dev/null
+++ b/mastlift/metrics.py
@@ -0,0 +1,29 @@
+"""Counters, gauges and histograms of one process, in the usual text form for `/metrics`."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
+
+WAITS = (.0002, .0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1., 2., 5.)  # upper bounds in seconds
+
+
+class Metrics:
+    """Makes and keeps a process's metrics; all names begin with `mastlift_`. Times are in seconds, sizes in bytes."""
+
+    content_type = CONTENT_TYPE_PLAIN_0_0_4
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+
+    def counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"mastlift_{name}", text, labels, registry=self._registry)
+
+    def gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"mastlift_{name}", text, labels, registry=self._registry)
+
+    def waits(self, name: str, text: str, *labels: str) -> Histogram:
+        return Histogram(f"mastlift_{name}_seconds", text, labels, buckets=WAITS, registry=self._registry)
+
+    def text(self) -> bytes:
+        return generate_latest(self._registry)
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,51 @@
+"""Imports point one way: what stands lower never knows what stands higher, and a proxy never loads the product."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+LAYERS = [{"settings", "logs", "metrics"}, {"durable"}, {"store"}, {"consensus"}, {"keeper"}, {"duty", "discovery"},
+          {"release"}, {"lab"}, {"cli"}, {"__main__"}]
+LEVEL = {room: level for level, rooms in enumerate(LAYERS) for room in rooms}
+APART = {("store", "durable"), ("store", "metrics"), ("store", "logs")}  # the state machine is pure
+
+
+def imports(path: Path) -> Iterator[str]:
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+            yield from (f"{node.module}.{alias.name}" for alias in node.names)
+
+
+def room_of(path: Path) -> str:
+    return path.relative_to(ROOT / "mastlift").parts[0].removesuffix(".py")
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "mastlift").rglob("*.py")), ids=lambda p: str(p.relative_to(ROOT)))
+def test_arrows_point_down(path: Path) -> None:
+    room = room_of(path)
+    if room == "__init__":
+        return
+    for name in imports(path):
+        parts = name.split(".")
+        if parts[0] == "mastlift" and len(parts) > 1 and parts[1] != room and parts[1] in LEVEL:
+            assert LEVEL[parts[1]] < LEVEL[room], f"{room} imports {name}"
+            assert (room, parts[1]) not in APART, f"{room} imports {name}"
+
+
+def test_a_proxy_loads_nothing_of_the_product() -> None:
+    for path in (*(ROOT / "cometdoor").glob("*.py"), *(ROOT / "jasperhall").glob("*.py")):
+        assert not any(name.split(".")[0] == "mastlift" for name in imports(path)), path
+    code = "import cometdoor.__main__, sys; print(*(m for m in sys.modules if m.split('.')[0] in " \
+           "('mastlift', 'aiohttp', 'msgspec')))"
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT,
+                          check=True).stdout.strip() == ""
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -23,4 +23,4 @@
     commands, = re.findall(r"```sh\n(.*?)```", (ROOT / "README.md").read_text(), re.DOTALL)
     script = (ROOT / ".ci" / "run").read_text()
     assert all(f"{command}\n" in script for command in commands.splitlines()[1:])
-    assert "pip\" -q install -r requirements.txt -r requirements-dev.txt" in script
+    assert "pip\" -q install -r requirements.txt -r requirements-control.txt -r requirements-dev.txt" in script
