--- /dev/null
+++ b/mastlift/cli.py
@@ -0,0 +1,291 @@
+"""The one command line. Each room's commands are loaded only when called."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from typing import Annotated, Any, NoReturn, ParamSpec, TypeVar
+
+import msgspec
+import typer
+
+from mastlift.lab.cli import app as lab_app
+from mastlift.logs import LogForm, start_logging
+
+NO, BAD_CALL, DAMAGE = 1, 2, 3
+P = ParamSpec("P")
+R = TypeVar("R")
+HELP = """What runs a fleet through failures.
+
+Start with a settings file (see docs/recovery.md):  mastlift keeper run --config keeper.toml
+
+Exit codes: 0 fine, 1 no, 2 bad call or settings, 3 damage. Errors are one line on standard error."""
+
+app = typer.Typer(help=HELP, no_args_is_help=True, pretty_exceptions_enable=False, add_completion=False)
+keeper_app = typer.Typer(help="The keeper: a store of keys that outlives crashes and power loss.", no_args_is_help=True)
+kv_app = typer.Typer(help="Read, write and watch keys in a keeper.", no_args_is_help=True)
+state_app = typer.Typer(help="Look at, check, back up and restore a keeper's folder.", no_args_is_help=True)
+app.add_typer(keeper_app, name="keeper")
+app.add_typer(kv_app, name="kv")
+app.add_typer(state_app, name="state")
+app.add_typer(lab_app, name="lab")
+
+Json = Annotated[bool, typer.Option("--json", help="One JSON object, for programs.")]
+Keepers = Annotated[str, typer.Option("--keepers", envvar="MASTLIFT_KEEPERS", help="HOST:PORT, several by commas.")]
+Seconds = Annotated[float, typer.Option("--within", help="Give up after so many seconds.")]
+Folder = Annotated[Path, typer.Argument(help="The keeper's data folder.")]
+DEFAULT_KEEPER = "127.0.0.1:7500"
+
+
+def fail(code: int, message: object) -> NoReturn:
+    """One line, and the exit code."""
+    typer.echo(f"mastlift: {' '.join(str(message).split())}", err=True)
+    raise typer.Exit(code)
+
+
+def show(body: Any) -> None:
+    typer.echo(msgspec.json.encode(body).decode())
+
+
+def plainly(call: Callable[P, R]) -> Callable[P, R]:
+    """Every error that a person can do something about is one line with its exit code, never a traceback."""
+    @wraps(call)
+    def run(*args: P.args, **kwargs: P.kwargs) -> R:
+        from mastlift.durable.archive import NotEmpty
+        from mastlift.durable.disk import Busy, DiskFailed, DiskFull
+        from mastlift.durable.frames import NewerFormat, Unreadable
+        from mastlift.durable.journal import WrongFolder
+        from mastlift.durable.segments import Damaged
+        from mastlift.settings import BadSettings
+        try:
+            return call(*args, **kwargs)
+        except (BadSettings, Busy, WrongFolder, NewerFormat, NotEmpty, DiskFull) as error:
+            fail(BAD_CALL, error)
+        except Damaged as error:
+            fail(DAMAGE, f"damaged: {error}. Nothing was changed; see docs/recovery.md, \"damaged\"")
+        except Unreadable as error:
+            fail(DAMAGE, f"damaged: {error}")
+        except DiskFailed as error:
+            fail(DAMAGE, f"the disk failed: {error}")
+        except (FileNotFoundError, NotADirectoryError, PermissionError, IsADirectoryError) as error:
+            fail(BAD_CALL, f"{error.filename}: {error.strerror}")
+        except KeyboardInterrupt:
+            fail(NO, "stopped")
+    return run
+
+
+@keeper_app.command("run")
+@plainly
+def keeper_run(config: Annotated[Path, typer.Option(help="Settings, TOML: [keeper] name, listen, data.")],
+               log: Annotated[LogForm, typer.Option(help="The form of the log on standard error.")] = LogForm.AUTO,
+               ) -> None:
+    """Serve the store from this machine's disk until SIGTERM."""
+    from mastlift.keeper import process
+    from mastlift.keeper.config import Settings
+    from mastlift.settings import load
+
+    start_logging(log)
+    process.run(load(config, Settings), config.parent)
+
+
+def _with_keeper(keepers: str, within: float, work: Callable[[Any], Any]) -> Any:
+    """Run `work` with a client. Refusals and silence are one line: 1 for a no, 2 for a bad call."""
+    import asyncio
+
+    from mastlift.keeper.client import KeeperClient, Refused, Unreachable
+    from mastlift.settings import address
+
+    async def run() -> Any:
+        names = [name.strip() for name in keepers.split(",")]
+        for name in names:
+            address(name, "--keepers")
+        async with KeeperClient(names, within) as client:
+            return await work(client)
+
+    try:
+        return asyncio.run(run())
+    except Refused as refused:
+        fail(BAD_CALL if refused.status in (400, 413) else NO, refused)
+    except Unreachable as error:
+        fail(NO, error)
+
+
+@kv_app.command("put")
+@plainly
+def kv_put(key: str, value: Annotated[str, typer.Argument(help="The value; - reads standard input.")],
+           if_revision: Annotated[int | None, typer.Option(help="Only if the key last changed at this revision; 0: "
+                                                                "only if it does not exist.")] = None,
+           lease: Annotated[int | None, typer.Option(help="Tie the key to a lease.")] = None,
+           keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0, json: Json = False) -> None:
+    """Store a value. Prints the revision."""
+    data = sys.stdin.buffer.read() if value == "-" else value.encode(errors="surrogateescape")
+    told = _with_keeper(keepers, within, lambda client: client.put(key, data, if_revision, lease))
+    show(told) if json else typer.echo(f"{key} is stored at revision {told['revision']}")
+
+
+@kv_app.command("get")
+@plainly
+def kv_get(key: str, keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0, json: Json = False) -> None:
+    """Print a value as it is. Exit code 1 if there is no such key."""
+    from mastlift.keeper.wire import entry_json
+
+    entry = _with_keeper(keepers, within, lambda client: client.get(key))
+    if entry is None:
+        fail(NO, f"no key {key}")
+    if json:
+        show(entry_json(key, entry))
+    else:
+        sys.stdout.buffer.write(entry.value + (b"\n" if sys.stdout.isatty() else b""))
+
+
+@kv_app.command("ls")
+@plainly
+def kv_ls(prefix: Annotated[str, typer.Argument(help="Only keys that begin so.")] = "",
+          keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0, json: Json = False) -> None:
+    """List keys with their revision, size and lease."""
+    from rich.console import Console
+    from rich.table import Table
+
+    from mastlift.keeper.wire import value_of
+
+    told = _with_keeper(keepers, within, lambda client: client.ls(prefix))
+    if json:
+        return show(told)
+    table = Table("key", "changed", "version", "bytes", "lease", box=None)
+    for entry in told["entries"]:
+        table.add_row(entry["key"], str(entry["changed"]), str(entry["version"]), str(len(value_of(entry))),
+                      str(entry["lease"] or "-"))
+    Console().print(table)
+    typer.echo(f"{len(told['entries'])} keys at revision {told['revision']}")
+
+
+@kv_app.command("rm")
+@plainly
+def kv_rm(key: str, if_revision: int | None = None, keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0,
+          json: Json = False) -> None:
+    """Delete a key. Exit code 1 if there was none."""
+    told = _with_keeper(keepers, within, lambda client: client.delete(key, if_revision))
+    if json:
+        show(told)
+    if not told["deleted"]:
+        fail(NO, f"no key {key}")
+
+
+@kv_app.command("watch")
+@plainly
+def kv_watch(prefix: Annotated[str, typer.Argument()] = "",
+             after: Annotated[int | None, typer.Option(help="Begin after this revision; else with what comes.")] = None,
+             count: Annotated[int, typer.Option(help="End after so many changes; 0: never.")] = 0,
+             keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0, json: Json = False) -> None:
+    """Print changes as they come, across restarts of the keeper, each once and in order."""
+    from mastlift.keeper.watch import follow
+
+    async def work(client: Any) -> None:
+        seen = 0
+        async for event in follow(client, prefix, after):
+            for change in event.changes:
+                seen += 1
+                if json:
+                    show(change)
+                elif change.get("deleted"):
+                    typer.echo(f"{change['changed']}\t{change['key']}\tdeleted")
+                else:
+                    typer.echo(f"{change['changed']}\t{change['key']}\t{change.get('value', '(bytes)')}")
+                if seen == count:
+                    return
+
+    _with_keeper(keepers, within, work)
+
+
+def _folder(path: Path) -> Any:
+    from mastlift.durable.disk import RealDisk
+    return RealDisk(path)
+
+
+@state_app.command("check")
+@plainly
+def state_check(folder: Folder, json: Json = False) -> None:
+    """Read every byte and change nothing. Exit code 0: whole; 1: damaged, a line for each with file and offset."""
+    from mastlift.durable.check import check_folder
+
+    findings = check_folder(_folder(folder))
+    if json:
+        show({"whole": not findings.damage, "entries": findings.entries, "last": findings.last,
+              "bytes": findings.bytes_read, "segments": findings.segments, "snapshots": findings.snapshots,
+              "damage": [{"file": one.file, "offset": one.offset, "reason": one.reason} for one in findings.damage],
+              "notes": findings.notes})
+    else:
+        for damage in findings.damage:
+            typer.echo(f"damaged: {damage}")
+        for note in findings.notes:
+            typer.echo(f"note: {note}")
+        typer.echo(f"{'DAMAGED' if findings.damage else 'whole'}: {findings.entries} entries up to {findings.last}; "
+                   f"{findings.segments} segments, {len(findings.snapshots)} snapshots, {findings.bytes_read} bytes")
+    if findings.damage:
+        raise typer.Exit(NO)
+
+
+@state_app.command("show")
+@plainly
+def state_show(folder: Folder, keys: Annotated[bool, typer.Option(help="The keys, too.")] = False,
+               json: Json = False) -> None:
+    """What a start would find: whose folder it is, its revision, and how far its snapshot and log reach."""
+    from mastlift.durable.archive import read_live
+    from mastlift.store.machine import Store
+
+    store = Store()
+    identity, recovery = read_live(_folder(folder), store)
+    told = {"name": identity.name, "life": identity.life, "format": identity.format, "revision": store.revision,
+            "index": store.index, "snapshot": recovery.snapshot, "entries_after_snapshot": recovery.entries,
+            "keys": len(store.entries), "leases": len(store.leases), "sessions": len(store.sessions.by_id),
+            "oldest_change": store.history.oldest, "notes": recovery.notes}
+    if json:
+        return show({**told, **({"names": list(store.keys())} if keys else {})})
+    for name, value in told.items():
+        typer.echo(f"{name.replace('_', ' '):24}{value}")
+    for key in store.keys() if keys else ():
+        typer.echo(key)
+
+
+@state_app.command("backup")
+@plainly
+def state_backup(folder: Folder, to: Annotated[Path, typer.Option(help="The file to write; it must not exist.")],
+                 json: Json = False) -> None:
+    """Copy the state at one revision to one file, also while the keeper serves."""
+    from mastlift.durable.archive import backup
+    from mastlift.store.machine import Store
+
+    if to.exists():
+        fail(BAD_CALL, f"{to} exists already: name a new file")
+    store = Store()
+    identity, _ = backup(_folder(folder), store, _folder(to.resolve().parent), to.name)
+    told = {"name": identity.name, "life": identity.life, "revision": store.revision, "index": store.index,
+            "keys": len(store.entries), "bytes": to.stat().st_size}
+    show(told) if json else typer.echo(f"{told['keys']} keys at revision {told['revision']} are in {to} "
+                                       f"({told['bytes']} bytes)")
+
+
+@state_app.command("restore")
+@plainly
+def state_restore(folder: Folder, source: Annotated[Path, typer.Option("--from", help="A file of `state backup`.")],
+                  name: Annotated[str, typer.Option(help="The keeper's name, as in its settings.")],
+                  json: Json = False) -> None:
+    """Make an empty folder a keeper's from a backup. It gets a new life: watchers read the whole again."""
+    import os
+
+    from mastlift.durable.archive import restore
+    from mastlift.durable.frames import LIFE_SIZE
+
+    if not source.is_file():
+        fail(BAD_CALL, f"{source}: there is no such file")
+    folder.mkdir(parents=True, exist_ok=True)
+    head = restore(_folder(source.resolve().parent), source.name, _folder(folder), name, os.urandom(LIFE_SIZE))
+    told = {"index": head.index, "from_life": head.life.hex(), "name": name}
+    show(told) if json else typer.echo(f"{folder} is the keeper {name}'s, up to entry {head.index} of {source}")
+
+
+def main() -> None:
+    """Entry point of `python -m mastlift` and of the installed command."""
+    app()
--- /dev/null
+++ b/mastlift/keeper/client.py
@@ -0,0 +1,182 @@
+"""The client to the keepers: numbered commands in a session, back-off with jitter, one deadline for each call."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Sequence
+from types import TracebackType
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import aiohttp
+import msgspec
+from yarl import URL
+
+from mastlift.keeper.http import NUMBER, RECEIVED, SESSION
+from mastlift.keeper.wire import entry_json, value_of
+from mastlift.store.commands import Entry
+
+FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.05, 2.0
+AGAIN = frozenset({429, 502, 503, 504, 507})
+SILENT_S = 15.0  # a watch is told something every 5 s
+__all__ = ["KeeperClient", "Refused", "Unreachable", "entry_json", "value_of"]
+
+
+class Refused(Exception):
+    """A keeper said no. `status` is the HTTP status, `body` its reasons."""
+
+    def __init__(self, status: int, body: dict[str, Any]) -> None:
+        super().__init__(f"{body.get('error', status)}: {body.get('message', '')}"
+                         + (f" ({body['field']})" if "field" in body else ""))
+        self.status, self.body = status, body
+
+
+class Unreachable(Exception):
+    """No keeper answered within the call's time. Whether a write was done is unknown, unless a session asks again."""
+
+
+class KeeperClient:
+    """Use it as an async context manager. Writes are repeated safely: each has its number in this client's session
+    (also where the HTTP library sends one again by itself, as it does with PUT on a connection that was kept)."""
+
+    def __init__(self, keepers: Sequence[str], deadline_s: float = 10.0, seed: int | None = None) -> None:
+        self._keepers, self.deadline_s = list(keepers), deadline_s
+        self._random = random.Random(seed)
+        self._random.shuffle(self._keepers)
+        self._session_id = 0
+        self._number = 0
+        self._open: set[int] = set()
+        self._opening = asyncio.Lock()
+        self._http: aiohttp.ClientSession | None = None
+        self.calls = 0  # sent, with repeats
+
+    async def __aenter__(self) -> KeeperClient:
+        self._http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        return self
+
+    async def __aexit__(self, kind: type[BaseException] | None, error: BaseException | None,
+                        trace: TracebackType | None) -> None:
+        assert self._http is not None
+        await self._http.close()
+
+    def _url(self, path: str, query: dict[str, Any] | None = None) -> URL:
+        given = {name: value for name, value in (query or {}).items() if value is not None}
+        return URL(f"http://{self._keepers[0]}{path}" + (f"?{urlencode(given)}" if given else ""), encoded=True)
+
+    async def _call(self, method: str, path: str, body: bytes | None = None, query: dict[str, Any] | None = None,
+                    headers: dict[str, str] | None = None, again: bool = True) -> dict[str, Any]:
+        """Raises Refused, Unreachable."""
+        assert self._http is not None
+        loop = asyncio.get_running_loop()
+        end, pause, last = loop.time() + self.deadline_s, FIRST_PAUSE_S, "no try"
+        while (left := end - loop.time()) > 0:
+            wanted = pause * self._random.uniform(0.5, 1.5)
+            try:
+                self.calls += 1
+                async with self._http.request(method, self._url(path, query), data=body, headers=headers,
+                                              timeout=aiohttp.ClientTimeout(left)) as response:
+                    told: dict[str, Any] = msgspec.json.decode(await response.read())
+                    if response.status < 300:
+                        return told
+                    refused = Refused(response.status, told)
+                    if response.status not in AGAIN or not again:
+                        raise refused
+                    last = str(refused)
+                    wanted = max(wanted, float(response.headers.get("Retry-After", 0)))
+            except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+                last = str(error) or type(error).__name__
+                if not again and not isinstance(error, aiohttp.ClientConnectorError):
+                    break
+            self._keepers.append(self._keepers.pop(0))
+            pause = min(pause * 2, LONGEST_PAUSE_S)
+            await asyncio.sleep(min(wanted, max(0.0, end - loop.time())))
+        raise Unreachable(f"no keeper of {', '.join(sorted(self._keepers))} answered within {self.deadline_s:g} s: "
+                          f"{last}")
+
+    async def _write(self, method: str, path: str, body: bytes | None = None,
+                     query: dict[str, Any] | None = None) -> dict[str, Any]:
+        async with self._opening:
+            if not self._session_id:
+                self._session_id = (await self._call("POST", "/v1/sessions"))["session"]
+        self._number += 1
+        number = self._number
+        self._open.add(number)
+        try:
+            return await self._call(method, path, body, query, {
+                SESSION: str(self._session_id), NUMBER: str(number), RECEIVED: str(min(self._open) - 1)})
+        except Refused as refused:
+            if refused.body.get("error") == "no_session":  # the next command opens another
+                self._session_id = 0
+            raise
+        finally:
+            self._open.discard(number)
+
+    # --- keys ---
+
+    async def put(self, key: str, value: bytes, if_revision: int | None = None,
+                  lease: int | None = None) -> dict[str, Any]:
+        """The answer has `revision` and `version`. Raises Refused (412: the condition failed), Unreachable."""
+        return await self._write("PUT", f"/v1/kv/{quote(key, safe='')}", value,
+                                 {"if_revision": if_revision, "lease": lease})
+
+    async def get(self, key: str) -> Entry | None:
+        try:
+            told = await self._call("GET", f"/v1/kv/{quote(key, safe='')}")
+        except Refused as refused:
+            if refused.body.get("error") == "no_key":
+                return None
+            raise
+        return Entry(value_of(told), told["created"], told["changed"], told["version"], told["lease"])
+
+    async def delete(self, key: str, if_revision: int | None = None) -> dict[str, Any]:
+        return await self._write("DELETE", f"/v1/kv/{quote(key, safe='')}", query={"if_revision": if_revision})
+
+    async def ls(self, prefix: str = "") -> dict[str, Any]:
+        """All keys under a prefix as they stand at one revision, if they fit one answer; else in pages."""
+        told = await self._call("GET", "/v1/kv", query={"prefix": prefix})
+        while told["more"]:
+            page = await self._call("GET", "/v1/kv", query={"prefix": prefix, "after": told["entries"][-1]["key"]})
+            told["entries"] += page["entries"]
+            told["more"] = page["more"]
+        return told
+
+    async def txn(self, compare: list[dict[str, Any]], then: list[dict[str, Any]],
+                  otherwise: list[dict[str, Any]] | None = None) -> dict[str, Any]:
+        body = msgspec.json.encode({"compare": compare, "then": then, "otherwise": otherwise or []})
+        return await self._write("POST", "/v1/txn", body)
+
+    # --- leases ---
+
+    async def grant(self, ttl_ms: int) -> int:
+        """The new lease's id."""
+        told = await self._write("POST", "/v1/leases", msgspec.json.encode({"ttl_ms": ttl_ms}))
+        return int(told["lease"])
+
+    async def renew(self, lease: int) -> dict[str, Any]:
+        return await self._write("POST", f"/v1/leases/{lease}/renew")
+
+    async def revoke(self, lease: int) -> dict[str, Any]:
+        return await self._write("DELETE", f"/v1/leases/{lease}")
+
+    # --- changes ---
+
+    async def status(self) -> dict[str, Any]:
+        return await self._call("GET", "/v1/status")
+
+    async def changes(self, after: int | None = None, prefix: str = "") -> AsyncIterator[dict[str, Any]]:
+        """Lines of one watch until the keeper ends it. Raises Refused (410: compacted, 409: another life)."""
+        assert self._http is not None
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.deadline_s, sock_read=SILENT_S)
+        try:
+            async with self._http.get(self._url("/v1/changes", {"after": after, "prefix": prefix or None}),
+                                      timeout=timeout, read_bufsize=1 << 22) as response:
+                if response.status != 200:
+                    raise Refused(response.status, msgspec.json.decode(await response.read()))
+                rest = b""
+                async for data in response.content.iter_any():
+                    *lines, rest = (rest + data).split(b"\n")
+                    for line in lines:
+                        yield msgspec.json.decode(line)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise Unreachable(f"the watch at {self._keepers[0]} broke: {error or type(error).__name__}") from error
--- /dev/null
+++ b/mastlift/keeper/config.py
@@ -0,0 +1,57 @@
+"""The settings of a keeper. Sizes in the unit that the name ends in."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta
+
+from mastlift.durable.frames import FORMAT, OLDEST_FORMAT
+from mastlift.settings import Section
+from mastlift.store.commands import KEY_BYTES, VALUE_BYTES
+
+Count = Annotated[int, Meta(ge=1)]
+
+
+class KeeperSection(Section, frozen=True):
+    """Who it is and where: `data` is a folder that exists, its own."""
+
+    name: Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+    listen: str
+    data: str
+
+
+class Limits(Section, frozen=True):
+    waiting: Count = 4096  # writes that wait for the disk; more get 429
+    waiting_mb: Count = 32
+    key_bytes: Annotated[int, Meta(ge=1, le=KEY_BYTES)] = KEY_BYTES
+    value_bytes: Annotated[int, Meta(ge=1, le=VALUE_BYTES)] = VALUE_BYTES
+    watches: Count = 1000
+    reserve_mb: Annotated[int, Meta(ge=0)] = 64  # free room that only deletes, renewals and snapshots may use
+
+
+class Snapshots(Section, frozen=True):
+    """A snapshot is taken after so many entries or so much log since the last one."""
+
+    entries: Count = 100_000
+    mb: Count = 64
+
+
+class HistorySection(Section, frozen=True):
+    """How many changes are remembered for `/v1/changes`."""
+
+    changes: Count = 50_000
+    mb: Count = 32
+
+
+class Log(Section, frozen=True):
+    segment_mb: Count = 16
+    format: Annotated[int, Meta(ge=OLDEST_FORMAT, le=FORMAT)] = FORMAT  # an older one keeps a way back open
+
+
+class Settings(Section, frozen=True):
+    keeper: KeeperSection
+    limits: Limits = Limits()
+    snapshot: Snapshots = Snapshots()
+    history: HistorySection = HistorySection()
+    log: Log = Log()
--- /dev/null
+++ b/mastlift/keeper/http.py
@@ -0,0 +1,310 @@
+"""The calls of a keeper over HTTP."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+from urllib.parse import unquote
+
+import msgspec
+from aiohttp import web
+
+from mastlift.durable.disk import DiskFull
+from mastlift.keeper import wire
+from mastlift.keeper.service import Service, Stopping, TooMany
+from mastlift.keeper.wire import BadCall
+from mastlift.metrics import Metrics
+from mastlift.store import commands as c
+from mastlift.store.history import Change, Compacted
+
+SESSION, NUMBER, RECEIVED = "Mastlift-Session", "Mastlift-Command", "Mastlift-Received"
+PROGRESS_S = 5.0  # a watch with no changes is told the revision so often
+LINES_AT_ONCE = 500
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+STATUS = {c.Outcome.OK: 200, c.Outcome.CONDITION: 412, c.Outcome.NO_LEASE: 404, c.Outcome.NO_SESSION: 410,
+          c.Outcome.FORGOTTEN: 410}
+TEXTS = {c.Outcome.CONDITION: "the condition does not hold", c.Outcome.NO_LEASE: "there is no such lease",
+         c.Outcome.NO_SESSION: "there is no such session: open one, and learn by reading what became of the last calls",
+         c.Outcome.FORGOTTEN: "the result of this command number is no longer kept"}
+
+
+def answer(status: int, body: dict[str, Any], **headers: str) -> web.Response:
+    return web.Response(status=status, body=msgspec.json.encode(body) + b"\n", content_type="application/json",
+                        headers={name.replace("_", "-"): value for name, value in headers.items()})
+
+
+class Calls:
+    """The routes of one keeper."""
+
+    def __init__(self, service: Service, metrics: Metrics) -> None:
+        self.service, self.store, self.metrics = service, service.store, metrics
+        self.waits = metrics.waits("call", "How long calls took", "call")
+        self.watches = metrics.gauge("watches", "Watches that are open")
+        self.open_watches = 0
+
+    def application(self) -> web.Application:
+        limit = self.service.settings.limits.value_bytes
+        application = web.Application(client_max_size=2 * limit + (1 << 20))
+        add = application.router.add_route
+        for method, path, handler in (
+                ("GET", "/up", self.up), ("GET", "/metrics", self.show_metrics), ("GET", "/v1/status", self.status),
+                ("PUT", "/v1/kv/{key:.+}", self.put), ("GET", "/v1/kv/{key:.+}", self.get),
+                ("DELETE", "/v1/kv/{key:.+}", self.delete), ("GET", "/v1/kv", self.list),
+                ("POST", "/v1/txn", self.txn), ("POST", "/v1/sessions", self.open_session),
+                ("POST", "/v1/leases", self.grant), ("GET", "/v1/leases", self.list_leases),
+                ("GET", "/v1/leases/{lease}", self.show_lease),
+                ("POST", "/v1/leases/{lease}/renew", self.renew), ("DELETE", "/v1/leases/{lease}", self.revoke),
+                ("GET", "/v1/changes", self.changes)):
+            add(method, path, self._guarded(handler))
+        return application
+
+    def _guarded(self, handler: Handler) -> Handler:
+        """Each refusal has its status, and a body that says why."""
+        observe, clock = self.waits.labels(handler.__name__).observe, time.monotonic
+
+        async def call(request: web.Request) -> web.StreamResponse:
+            started = clock()
+            try:
+                return await handler(request)
+            except BadCall as error:
+                return self._refusal(error.status, "bad_call", str(error), field=error.field)
+            except web.HTTPRequestEntityTooLarge:
+                return self._refusal(413, "bad_call", "the body is too large", field="body")
+            except DiskFull as error:
+                return self._refusal(507, "disk_full", str(error))
+            except TooMany as error:
+                return self._refusal(429, "too_many_waiting", str(error), {"Retry_After": "1"})
+            except Stopping as error:
+                return self._refusal(503, "ending", str(error), {"Retry_After": "1"})
+            finally:
+                observe(clock() - started)
+        return call
+
+    def _refusal(self, status: int, error: str, message: str, headers: dict[str, str] | None = None,
+                 **more: Any) -> web.Response:
+        return answer(status, {"error": error, "message": message, "revision": self.store.revision, **more},
+                      **(headers or {}))
+
+    # --- reading the call ---
+
+    def _key(self, request: web.Request) -> str:
+        raw = request.rel_url.raw_path.removeprefix("/v1/kv/")
+        try:
+            key = unquote(raw, errors="strict")
+        except UnicodeDecodeError:
+            raise BadCall("key", "a key is text in UTF-8") from None
+        return wire.check_key(key, self.service.settings.limits.key_bytes)
+
+    @staticmethod
+    def _number(text: str | None, field: str, default: int = 0) -> int:
+        if text is None:
+            return default
+        if not (text.isascii() and text.isdecimal() and len(text) <= 19):
+            raise BadCall(field, "it is a whole number, not below 0")
+        return int(text)
+
+    @staticmethod
+    def _only(request: web.Request, *known: str) -> None:
+        for name in request.query:
+            if name not in known:
+                raise BadCall(name, f"it is not known here; known: {', '.join(known) or 'nothing'}")
+
+    async def _run(self, request: web.Request, command: c.Command, size: int) -> c.Result:
+        headers = request.headers
+        session = self._number(headers.get(SESSION), SESSION)
+        number = self._number(headers.get(NUMBER), NUMBER)
+        if session and not number:
+            raise BadCall(NUMBER, "a command of a session has a number from 1 on")
+        received = self._number(headers.get(RECEIVED), RECEIVED)
+        return await self.service.propose(c.Envelope(command, session, number, received), size + 64)
+
+    def _told(self, result: c.Result, **body: Any) -> web.Response:
+        if result.outcome is c.Outcome.OK:
+            return answer(200, {"revision": result.revision, **body})
+        entries = [wire.entry_json("", entry) for entry in result.entries]
+        for entry in entries:
+            del entry["key"]
+        return answer(STATUS[result.outcome], {
+            "error": result.outcome.value, "message": TEXTS[result.outcome], "revision": result.revision,
+            **({"stands": entries[0]} if entries else {})})
+
+    # --- keys ---
+
+    async def put(self, request: web.Request) -> web.Response:
+        self._only(request, "if_revision", "lease")
+        key = self._key(request)
+        condition = self._number(request.query.get("if_revision"), "if_revision", -1)
+        lease = self._number(request.query.get("lease"), "lease")
+        value = wire.check_value(await request.read(), self.service.settings.limits.value_bytes)
+        result = await self._run(request, c.Put(key, value, lease, condition), len(key) + len(value))
+        return self._told(result, key=key, version=result.number)
+
+    async def get(self, request: web.Request) -> web.Response:
+        self._only(request, "raw")
+        key = self._key(request)
+        await self._barrier()
+        entry = self.store.entries.get(key)
+        if entry is None:
+            return self._refusal(404, "no_key", "there is no such key", key=key)
+        if "raw" in request.query:
+            return web.Response(body=entry.value, content_type="application/octet-stream", headers={
+                "Mastlift-Revision": str(self.store.revision), "Mastlift-Changed": str(entry.changed)})
+        return answer(200, {"revision": self.store.revision, **wire.entry_json(key, entry)})
+
+    async def delete(self, request: web.Request) -> web.Response:
+        self._only(request, "if_revision")
+        key = self._key(request)
+        condition = self._number(request.query.get("if_revision"), "if_revision", -1)
+        result = await self._run(request, c.Delete(key, condition), len(key))
+        return self._told(result, key=key, deleted=result.number)
+
+    async def list(self, request: web.Request) -> web.Response:
+        self._only(request, "prefix", "limit", "after")
+        limit = self._number(request.query.get("limit"), "limit", 10_000)
+        after = request.query.get("after", "")
+        await self._barrier()
+        found: list[dict[str, Any]] = []
+        more = False
+        for key in self.store.keys(request.query.get("prefix", ""), after):
+            if len(found) >= limit:
+                more = True
+                break
+            found.append(wire.entry_json(key, self.store.entries[key]))
+        return answer(200, {"revision": self.store.revision, "life": self.service.journal.identity.life,
+                            "entries": found, "more": more})
+
+    async def txn(self, request: web.Request) -> web.Response:
+        limits = self.service.settings.limits
+        body = await request.read()
+        command = wire.txn_command(wire.decode(body, wire.TxnCall), limits.key_bytes, limits.value_bytes)
+        result = await self._run(request, command, len(body))
+        operations = command.then if result.then else command.otherwise
+        shown = [wire.entry_json(operation.key, entry)
+                 for operation, entry in zip(operations, result.entries, strict=False)]
+        return self._told(result, then=result.then, results=shown)
+
+    async def _barrier(self) -> None:
+        if self.service.order is not None:
+            await self.service.order.read_barrier()
+
+    # --- sessions and leases ---
+
+    async def open_session(self, request: web.Request) -> web.Response:
+        result = await self._run(request, c.OpenSession(), 0)
+        return self._told(result, session=result.number)
+
+    async def grant(self, request: web.Request) -> web.Response:
+        call = wire.decode(await request.read(), wire.LeaseCall)
+        result = await self._run(request, c.Grant(call.ttl_ms), 0)
+        return self._told(result, lease=result.number, ttl_ms=call.ttl_ms)
+
+    def _lease(self, request: web.Request) -> int:
+        return self._number(request.match_info["lease"], "lease")
+
+    async def renew(self, request: web.Request) -> web.Response:
+        lease = self._lease(request)
+        result = await self._run(request, c.Renew(lease), 0)
+        return self._told(result, lease=lease, ttl_ms=result.number)
+
+    async def revoke(self, request: web.Request) -> web.Response:
+        lease = self._lease(request)
+        result = await self._run(request, c.Revoke(lease), 0)
+        return self._told(result, lease=lease, keys=result.number)
+
+    def _lease_json(self, lease: int) -> dict[str, Any]:
+        one = self.store.leases[lease]
+        return {"lease": lease, "ttl_ms": one.ttl_ms, "keys": sorted(one.keys),
+                "remaining_ms": round(self.service.lease_remaining_ms(lease))}
+
+    async def list_leases(self, request: web.Request) -> web.Response:
+        return answer(200, {"revision": self.store.revision, "leases": list(map(self._lease_json, self.store.leases))})
+
+    async def show_lease(self, request: web.Request) -> web.Response:
+        lease = self._lease(request)
+        if lease not in self.store.leases:
+            return self._refusal(404, "no_lease", "there is no such lease")
+        return answer(200, {"revision": self.store.revision, **self._lease_json(lease)})
+
+    # --- changes ---
+
+    async def changes(self, request: web.Request) -> web.StreamResponse:
+        """Lines of JSON: {revision, changes} for each revision that touches the prefix, {revision} now and then."""
+        self._only(request, "after", "prefix")
+        prefix = request.query.get("prefix", "")
+        after = self._number(request.query.get("after"), "after", self.store.revision)
+        if after > self.store.revision:
+            return self._refusal(409, "ahead", f"this keeper (life {self.service.journal.identity.life}) has not come "
+                                               f"to revision {after}: read the whole", field="after")
+        try:
+            self.service.changes(after)
+        except Compacted as error:
+            return self._refusal(410, "compacted", f"{error}: read the whole", oldest=error.oldest)
+        if self.open_watches >= self.service.settings.limits.watches:
+            raise TooMany(f"{self.open_watches} watches are open")
+        response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
+        self.open_watches += 1
+        self.watches.set(self.open_watches)
+        try:
+            await response.prepare(request)
+            await response.write(msgspec.json.encode(
+                {"revision": after, "life": self.service.journal.identity.life}) + b"\n")
+            with contextlib.suppress(ConnectionError):
+                await self._follow(response, after, prefix)
+        finally:
+            self.open_watches -= 1
+            self.watches.set(self.open_watches)
+        return response
+
+    async def _follow(self, response: web.StreamResponse, after: int, prefix: str) -> None:
+        while not self.service.stopping:
+            if not await self.service.change_after(after, PROGRESS_S):
+                await response.write(msgspec.json.encode({"revision": after}) + b"\n")
+                continue
+            try:
+                changes = self.service.changes(after)
+            except Compacted as error:  # a reader slower than the history is long
+                await response.write(msgspec.json.encode({"error": "compacted", "oldest": error.oldest}) + b"\n")
+                return
+            after, lines = self._lines(changes, prefix, after)
+            if lines:
+                await response.write(lines)
+
+    @staticmethod
+    def _lines(changes: Iterator[Change], prefix: str, after: int) -> tuple[int, bytes]:
+        """The next whole revisions, about LINES_AT_ONCE of them, and where they end."""
+        lines: list[bytes] = []
+        group: list[dict[str, Any]] = []
+        for key, entry in changes:
+            if entry.changed != after:
+                if group:
+                    lines.append(msgspec.json.encode({"revision": after, "changes": group}))
+                    group = []
+                if len(lines) >= LINES_AT_ONCE:
+                    break
+                after = entry.changed
+            if key.startswith(prefix):
+                group.append(wire.change_json((key, entry)))
+        if group:
+            lines.append(msgspec.json.encode({"revision": after, "changes": group}))
+        return after, b"".join(line + b"\n" for line in lines)
+
+    # --- about this keeper ---
+
+    async def up(self, request: web.Request) -> web.Response:
+        if self.service.stopping:
+            return answer(503, {"up": False})
+        return answer(200, {"up": True, "revision": self.store.revision})
+
+    async def show_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(body=self.metrics.text(), headers={"Content-Type": self.metrics.content_type})
+
+    async def status(self, request: web.Request) -> web.Response:
+        service, recovery = self.service, self.service.recovery
+        return answer(200, {
+            "name": service.settings.keeper.name, "life": service.journal.identity.life,
+            "format": service.journal.identity.format, "revision": self.store.revision, "index": self.store.index,
+            "keys": len(self.store.entries), "leases": len(self.store.leases),
+            "sessions": len(self.store.sessions.by_id), "snapshots": service.journal.snapshots(),
+            "oldest_change": self.store.history.oldest, "recovery_s": recovery.seconds, "notes": recovery.notes})
--- /dev/null
+++ b/mastlift/keeper/process.py
@@ -0,0 +1,95 @@
+"""The process `mastlift keeper run`: its start, its one `ready` event, and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import uvloop
+from aiohttp import web
+
+from mastlift import settings as settings_
+from mastlift.durable.disk import Disk, DiskFailed, RealDisk
+from mastlift.durable.frames import LIFE_SIZE
+from mastlift.keeper.config import Settings
+from mastlift.keeper.http import Calls
+from mastlift.keeper.service import Service
+from mastlift.logs import get_logger
+from mastlift.metrics import Metrics
+from mastlift.settings import BadSettings
+
+DAMAGE = 3
+END_S = 0.5  # for calls under way after SIGTERM; what was taken is made durable whether or not they end
+
+
+def open_folder(settings: Settings, base: Path) -> RealDisk:
+    """The data folder, held for this process. Raises BadSettings, Busy."""
+    folder = (base / settings.keeper.data).resolve()
+    if not folder.exists():
+        raise BadSettings(f"keeper.data: {folder} does not exist; make it first (mkdir -p)")
+    if not folder.is_dir():
+        raise BadSettings(f"keeper.data: {folder} is no folder")
+    if not os.access(folder, os.W_OK | os.X_OK):
+        raise BadSettings(f"keeper.data: {folder} is not writable")
+    disk = RealDisk(folder)
+    try:
+        disk.lock()
+    except OSError as error:
+        raise BadSettings(f"keeper.data: {folder}: {error.strerror}") from error
+    return disk
+
+
+def _end_now(error: DiskFailed) -> None:
+    """Without a word to anybody who waits: nothing that was not synced may look acknowledged."""
+    get_logger("keeper").error("disk_failed", reason=str(error),
+                               do="look at the disk; the next start says what stands")
+    os._exit(DAMAGE)
+
+
+async def _serve(settings: Settings, disk: Disk, started: float) -> None:
+    host, port = settings_.address(settings.keeper.listen, "keeper.listen")
+    log, metrics, loop = get_logger("keeper"), Metrics(), asyncio.get_running_loop()
+    ending = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ending.set)
+    service = Service(settings, disk, metrics, lambda: os.urandom(LIFE_SIZE), _end_now)
+    gc.collect()
+    gc.freeze()  # what was recovered lives on: looking through it again and again is a pause for every caller
+    for note in service.recovery.notes:
+        log.warning("recovery", note=note)
+    await service.start()
+    runner = web.AppRunner(Calls(service, metrics).application(), access_log=None, shutdown_timeout=END_S,
+                           handler_cancellation=False)
+    await runner.setup()
+    site = web.TCPSite(runner, host, port, backlog=1024)
+    try:
+        await site.start()
+    except OSError as error:
+        await service.stop()
+        raise BadSettings(f"keeper.listen: {settings.keeper.listen}: {error.strerror}") from error
+    address = runner.addresses[0]
+    recovery = service.recovery
+    log.info("ready", name=settings.keeper.name, address=f"{address[0]}:{address[1]}", pid=os.getpid(),
+             recovery_s={step: round(took, 6) for step, took in recovery.seconds.items()},
+             start_s=round(time.monotonic() - started, 6), snapshot=recovery.snapshot, entries=recovery.entries,
+             revision=service.store.revision, keys=len(service.store.entries), made=recovery.made,
+             life=service.journal.identity.life)
+    await ending.wait()
+    service.stopping = True
+    await site.stop()
+    await service.stop()
+    await runner.cleanup()
+    log.info("ended", revision=service.store.revision, index=service.store.index)
+
+
+def run(settings: Settings, base: Path, wrap: Callable[[Disk], Disk] = lambda disk: disk) -> None:
+    """Serve until SIGTERM. `base` is what a relative data folder is relative to; `wrap` puts a faulty disk before the
+    real one. Raises BadSettings, Busy, and what `open_journal` raises."""
+    started = time.monotonic()
+    settings_.address(settings.keeper.listen, "keeper.listen")
+    uvloop.run(_serve(settings, wrap(open_folder(settings, base)), started))
--- /dev/null
+++ b/mastlift/keeper/service.py
@@ -0,0 +1,226 @@
+"""The store in service: proposals with their limits, leases that end in time, watches, and snapshots beside writes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+from mastlift.durable.disk import Disk, DiskFailed, DiskFull
+from mastlift.durable.journal import Journal, Recovery, open_journal
+from mastlift.keeper.config import Settings
+from mastlift.keeper.order import Alone, Order
+from mastlift.logs import get_logger
+from mastlift.metrics import Metrics
+from mastlift.store import commands as c
+from mastlift.store.history import Change, History
+from mastlift.store.leases import LeaseClock
+from mastlift.store.machine import Store
+
+TICK_S = 0.05
+MB = 1 << 20
+SNAPSHOT_AGAIN_S = 5.0
+GROWS = c.Put | c.Txn | c.Grant | c.OpenSession  # what the reserve on the disk is not for
+
+
+class TooMany(Exception):
+    """So many proposals wait that one more would only wait longer."""
+
+
+class Stopping(Exception):
+    """The keeper is ending."""
+
+
+def now_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
+class Service:
+    """One keeper's state. All methods belong to the event loop's thread."""
+
+    def __init__(self, settings: Settings, disk: Disk, metrics: Metrics, new_life: Callable[[], bytes],
+                 failed: Callable[[DiskFailed], None]) -> None:
+        """Recover from the disk. Raises what `open_journal` raises."""
+        self.settings, self._disk, self._failed = settings, disk, failed
+        self.store = Store(History(settings.history.changes, settings.history.mb * MB))
+        self.journal: Journal
+        self.recovery: Recovery
+        self.journal, self.recovery = open_journal(
+            disk, settings.keeper.name, self.store, new_life, version=settings.log.format,
+            segment_bytes=settings.log.segment_mb * MB)
+        self.log = get_logger("keeper")
+        self.stopping = False
+        self.order: Order | None = None
+        self._clock = LeaseClock(0.0)
+        self._changed = asyncio.Event()
+        self._snapshot: asyncio.Task[None] | None = None
+        self._snapshot_index, self._covered_bytes, self._no_snapshot_before = self.recovery.snapshot, 0, 0.0
+        self._snapshot_thread = ThreadPoolExecutor(1, "snapshot")
+        self._room = True
+        self._tasks: list[asyncio.Task[None]] = []
+        self._make_metrics(metrics)
+
+    def _make_metrics(self, metrics: Metrics) -> None:
+        self.commands = metrics.counter("commands", "Commands applied", "outcome")
+        self.outcomes = {outcome: self.commands.labels(outcome.value) for outcome in c.Outcome}
+        self.refused = metrics.counter("refused", "Commands not taken", "why")
+        self.group_sizes = metrics.counter("groups", "Groups of commands made durable by one sync")
+        self.copies = metrics.waits("snapshot_copy", "How long the state was held still for a snapshot's copy")
+        self.snapshots = metrics.waits("snapshot", "How long a snapshot took beside the writes")
+        self.ended = metrics.counter("leases_ended", "Leases whose time was up")
+        gauges: dict[str, tuple[str, Callable[[], float]]] = {
+            "revision": ("The store's revision", lambda: self.store.revision),
+            "index": ("Index of the last command applied", lambda: self.store.index),
+            "keys": ("Keys in the store", lambda: len(self.store.entries)),
+            "leases": ("Leases that live", lambda: len(self.store.leases)),
+            "sessions": ("Sessions of clients", lambda: len(self.store.sessions.by_id)),
+            "waiting": ("Commands that wait for the disk", lambda: self.order.waiting()[0] if self.order else 0),
+            "disk_free_bytes": ("Free room on the disk", self._disk.free_bytes),
+            "recovery_seconds": ("How long the last start took", lambda: sum(self.recovery.seconds.values())),
+        }
+        for name, (text, read) in gauges.items():
+            metrics.gauge(name, text).set_function(read)
+
+    async def start(self) -> None:
+        self.order = Alone(self.journal, self._apply, self._failed)
+        self._clock = LeaseClock(now_ms(), ((lease, one.ttl_ms, one.renewals)
+                                            for lease, one in self.store.leases.items()))
+        self._tasks = [asyncio.create_task(self._keep_time())]
+
+    async def stop(self) -> None:
+        """Make durable what was taken, and let go of the disk."""
+        self.stopping = True
+        self._wake()
+        for task in self._tasks:
+            task.cancel()
+        if self._snapshot is not None:
+            self._snapshot.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._snapshot
+        if self.order is not None:
+            await self.order.stop()
+        self._snapshot_thread.shutdown()
+
+    # --- commands ---
+
+    async def propose(self, envelope: c.Envelope, size: int) -> c.Result:
+        """Raises TooMany, DiskFull, Stopping."""
+        limits = self.settings.limits
+        if self.stopping or self.order is None:
+            raise Stopping("the keeper is ending")
+        waiting, waiting_bytes = self.order.waiting()
+        if waiting >= limits.waiting or waiting_bytes + size > limits.waiting_mb * MB:
+            self.refused.labels("waiting").inc()
+            raise TooMany(f"{waiting} writes wait for the disk")
+        if not self._room and isinstance(envelope.command, GROWS):
+            self.refused.labels("disk full").inc()
+            raise DiskFull(f"less than {limits.reserve_mb} MB are free")
+        try:
+            return await self.order.propose(envelope, size)
+        except DiskFull:
+            self.refused.labels("disk full").inc()
+            raise
+
+    def _apply(self, envelopes: list[c.Envelope]) -> list[c.Result]:
+        before, results, now = self.store.revision, [], now_ms()
+        for envelope in envelopes:
+            result = self.store.apply(envelope)
+            results.append(result)
+            self.outcomes[result.outcome].inc()
+            command = envelope.command
+            if isinstance(command, c.Grant | c.Renew | c.Revoke):
+                self._follow_lease(command, result, now)
+        self.group_sizes.inc()
+        if self.store.revision != before:
+            self._wake()
+        self._maybe_snapshot()
+        return results
+
+    # --- leases ---
+
+    def _follow_lease(self, command: c.Grant | c.Renew | c.Revoke, result: c.Result, now: float) -> None:
+        lease = result.number if isinstance(command, c.Grant) else command.lease
+        standing = self.store.leases.get(lease)
+        if standing is None:
+            self._clock.ended(lease)
+        elif not isinstance(command, c.Revoke):
+            self._clock.started(lease, standing.ttl_ms, standing.renewals, now)
+
+    def lease_remaining_ms(self, lease: int) -> float:
+        return self._clock.remaining_ms(lease, now_ms())
+
+    async def _keep_time(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._look_at_room()
+            for revoke in self._clock.tick(now_ms()):
+                try:
+                    result = await self.propose(c.Envelope(revoke), 32)
+                except (TooMany, DiskFull, Stopping):
+                    break
+                if result.outcome is c.Outcome.OK:
+                    self.ended.inc()
+                    self.log.info("lease_ended", lease=revoke.lease, keys=result.number)
+
+    def _look_at_room(self) -> None:
+        room = self._disk.free_bytes() >= self.settings.limits.reserve_mb * MB
+        if room != self._room:
+            self._room = room
+            (self.log.info if room else self.log.warning)("disk_has_room" if room else "disk_full",
+                                                          free_bytes=self._disk.free_bytes())
+
+    # --- watches ---
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def changes(self, after: int) -> Iterator[Change]:
+        """Raises Compacted."""
+        return self.store.history.after(after)
+
+    async def change_after(self, revision: int, wait_s: float) -> bool:
+        """Wait until the store is past `revision`; False when the time is up first."""
+        if self.store.revision <= revision and not self.stopping:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), wait_s)
+        return self.store.revision > revision
+
+    # --- snapshots ---
+
+    def _maybe_snapshot(self) -> None:
+        limits = self.settings.snapshot
+        due = (self.store.index - self._snapshot_index >= limits.entries
+               or self.journal.log_bytes - self._covered_bytes >= limits.mb * MB)
+        if due and self._snapshot is None and not self.stopping and time.monotonic() >= self._no_snapshot_before:
+            started = time.monotonic()
+            blocks = self.store.dump()
+            self.copies.observe(time.monotonic() - started)
+            self._snapshot = asyncio.create_task(self._take_snapshot(self.store.index, blocks))
+
+    async def _take_snapshot(self, index: int, blocks: Iterator[bytes]) -> None:
+        """Write the copy in slices, in a thread of its own, so that writes go on beside it."""
+        loop, started, size = asyncio.get_running_loop(), time.monotonic(), 0
+        writer, covered = None, self.journal.log_bytes
+        try:
+            writer = await loop.run_in_executor(self._snapshot_thread, self.journal.snapshot_writer, index)
+            for block in blocks:
+                await loop.run_in_executor(self._snapshot_thread, writer.write, block)
+                size += len(block)
+            await loop.run_in_executor(self._snapshot_thread, writer.finish)
+            await loop.run_in_executor(self._snapshot_thread, self.journal.snapshot_done, index)
+            self._snapshot_index = index
+            self._covered_bytes = covered
+            self.snapshots.observe(time.monotonic() - started)
+            self.log.info("snapshot", index=index, bytes=size, seconds=round(time.monotonic() - started, 4))
+        except DiskFull as error:
+            self.log.warning("snapshot_put_off", reason=str(error))
+            self._no_snapshot_before = time.monotonic() + SNAPSHOT_AGAIN_S
+            if writer is not None:
+                await loop.run_in_executor(self._snapshot_thread, writer.abandon)
+        except DiskFailed as error:
+            self._failed(error)
+        finally:
+            self._snapshot = None
--- /dev/null
+++ b/mastlift/lab/cli.py
@@ -0,0 +1,104 @@
+"""The lab's commands."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from msgspec import json as mjson
+from rich.progress import Progress
+
+from mastlift.logs import LogForm, start_logging
+
+app = typer.Typer(help="Faults and checkers: find out whether the promises hold.", no_args_is_help=True)
+Seed = Annotated[int, typer.Option(help="One seed replays one history.")]
+Json = Annotated[bool, typer.Option("--json", help="One JSON object, for programs.")]
+
+
+def _finish(told: dict[str, object], json: bool, broken: list[str]) -> None:
+    if json:
+        typer.echo(mjson.encode({**told, "broken": broken}).decode())
+    else:
+        for name, value in told.items():
+            typer.echo(f"{name.replace('_', ' '):24}{value}")
+        for line in broken:
+            typer.echo(f"BROKEN: {line}")
+    if broken:
+        raise typer.Exit(1)
+
+
+@app.command()
+def crash(runs: Annotated[int, typer.Option(min=1, help="How many histories.")] = 20, seed: Seed = 0,
+          mutation: Annotated[str, typer.Option(help="Break this rule on purpose; the run must then fail.")] = "",
+          json: Json = False) -> None:
+    """Crash the log and its recovery at every step on a disk that loses what was not synced, and damage what was.
+
+    Exit code 1 with the seed of the first history that breaks a promise: `--runs 1 --seed THAT` replays it."""
+    from collections import Counter
+    from contextlib import nullcontext
+
+    from mastlift.lab.crash import Broken, Tally, check_history
+    from mastlift.lab.damage import check_damage
+    from mastlift.lab.mutations import MUTATIONS, mutated
+
+    if mutation and mutation not in MUTATIONS:
+        typer.echo(f"mastlift: --mutation: '{mutation}' is not known; known: {', '.join(MUTATIONS)}", err=True)
+        raise typer.Exit(2)
+    tally, damage, broken = Tally(), Counter[str](), list[str]()
+    with Progress(transient=True, disable=json) as progress, mutated(mutation) if mutation else nullcontext():
+        task = progress.add_task("histories", total=runs)
+        for number in range(seed, seed + runs):
+            try:
+                check_history(number, tally)
+                damage += check_damage(number)
+            except Broken as error:
+                broken.append(f"{error}  (replay: mastlift lab crash --runs 1 --seed {number}"
+                              + (f" --mutation {mutation})" if mutation else ")"))
+                break
+            progress.advance(task)
+    _finish({"histories": tally.histories, "crash_points": tally.crash_points, "second_crashes": tally.second_crashes,
+             "recoveries": tally.recoveries, "damages_refused": sum(n for k, n in damage.items() if "refused" in k),
+             "damages_outlived": sum(n for k, n in damage.items() if "recovered" in k)}, json, broken)
+
+
+@app.command()
+def kill(kills: Annotated[int, typer.Option(min=1)] = 50, writers: Annotated[int, typer.Option(min=1)] = 16,
+         seed: Seed = 0, json: Json = False) -> None:
+    """Kill a keeper's process at random moments under writers, and compare the store with their ledgers."""
+    from mastlift.lab.kill import kill_run
+
+    with tempfile.TemporaryDirectory() as folder, Progress(transient=True, disable=json) as progress:
+        task = progress.add_task("kills", total=kills)
+        verdict = asyncio.run(kill_run(Path(folder), kills, writers, seed,
+                                       lambda done: progress.update(task, completed=done)))
+    told = {name: getattr(verdict, name) for name in verdict.__slots__}
+    broken = told.pop("broken")
+    _finish(told, json, broken)
+
+
+@app.command(hidden=True)
+def writer(keepers: Annotated[str, typer.Option()], name: Annotated[str, typer.Option()],
+           ledger: Annotated[Path, typer.Option()], seed: Seed = 0) -> None:
+    """One writer of `lab kill`."""
+    from mastlift.lab.kill import write
+
+    asyncio.run(write(keepers.split(","), name, ledger, seed or random.randrange(1 << 30)))
+
+
+@app.command()
+def keeper(config: Annotated[Path, typer.Option()],
+           faults: Annotated[Path, typer.Option(help="A folder: files `full`, `fsync`, `slow` in it are faults.")],
+           ) -> None:
+    """A keeper on a disk that fails when told to."""
+    from mastlift.keeper import process
+    from mastlift.keeper.config import Settings
+    from mastlift.lab.faulty import FaultyDisk
+    from mastlift.settings import load
+
+    start_logging(LogForm.JSON)
+    process.run(load(config, Settings), config.parent, lambda disk: FaultyDisk(disk, faults))
+
--- a/mastlift/store/machine.py
+++ b/mastlift/store/machine.py
@@ -38,7 +38,7 @@
     `revision` grows by one with each command that changes a key; `index` is that of the last command applied."""
 
     def __init__(self, history: History | None = None) -> None:
-        self.history = history or History()
+        self.history = History() if history is None else history
         self.revision = self.index = 0
         self.entries: dict[str, Entry] = {}
         self.leases: dict[int, Lease] = {}
@@ -213,11 +213,11 @@
     def dump(self, block_bytes: int = 256 << 10) -> Iterator[bytes]:
         """The whole state in blocks of about `block_bytes`. The copy is made at once; then commands may go on while
         the blocks are taken one by one."""
-        head = _Head(self.revision, self.index, self.history.oldest)
+        head = _Head(self.revision, self.index)
         leases = [_LeaseRow(lease, one.ttl_ms, one.renewals) for lease, one in self.leases.items()]
         sessions = [_SessionRow(number, one.received, dict(one.results)) for number, one in self.sessions.by_id.items()]
-        entries, changes = self.entries.copy(), list(self.history.after(self.history.oldest))
-        return _blocks(head, leases, sessions, entries, changes, block_bytes)
+        entries, changes = self.entries.copy(), self.history.changes.copy()
+        return _blocks([head, *leases, *sessions], entries, changes, self.history.oldest, block_bytes)
 
     def load(self, block: bytes) -> None:
         """A block of a dump, in order, into an empty store. Raises msgspec.DecodeError."""
@@ -228,15 +228,16 @@
                     if row.entry.lease:
                         self.leases[row.entry.lease].keys.add(row.key)
                 case _ChangeRow():
-                    entry = self.entries.get(row.key)  # the value is mostly the one that stands: keep it once
-                    self.history.add(row.key, entry if entry == row.entry else row.entry)
+                    self.history.add(row.key, row.entry or self.entries[row.key])
+                case _HistoryRow():
+                    self.history.oldest = row.oldest
                 case _LeaseRow():
                     self.leases[row.lease] = Lease(row.ttl_ms, row.renewals)
                 case _SessionRow():
                     session = self.sessions.by_id[row.session] = Session()
                     session.received, session.results = row.received, dict(row.results)
                 case _Head():
-                    self.revision, self.index, self.history.oldest = row.revision, row.index, row.oldest
+                    self.revision, self.index = row.revision, row.index
 
     def reset(self) -> None:
         self.__init__(History(self.history.most, self.history.most_bytes))  # type: ignore[misc]
@@ -245,7 +246,6 @@
 class _Head(c._Row, frozen=True, tag=1):
     revision: int
     index: int
-    oldest: int
 
 
 class _LeaseRow(c._Row, frozen=True, tag=2):
@@ -265,35 +265,63 @@
     entry: Entry
 
 
-class _ChangeRow(c._Row, frozen=True, tag=5):
-    key: str
-    entry: Entry
+class _HistoryRow(c._Row, frozen=True, tag=5):
+    oldest: int  # all changes after this revision follow
 
 
-_DECODE_ROWS = msgspec.msgpack.Decoder(list[_Head | _LeaseRow | _SessionRow | _EntryRow | _ChangeRow]).decode
+class _ChangeRow(c._Row, frozen=True, tag=6):
+    key: str
+    entry: Entry | None  # None: the one that stands
 
 
-def _blocks(head: _Head, leases: list[_LeaseRow], sessions: list[_SessionRow], entries: dict[str, Entry],
-            changes: list[Change], block_bytes: int) -> Iterator[bytes]:
-    rows: list[Any] = [head]
-    size = 0
+_Row = _Head | _LeaseRow | _SessionRow | _EntryRow | _HistoryRow | _ChangeRow
+_DECODE_ROWS = msgspec.msgpack.Decoder(list[_Row]).decode
+ROW_BYTES = 24  # about what a row has beside its key and value
+LEAST_HISTORY_BYTES = 1 << 20
 
-    def parts() -> Iterator[tuple[Any, int]]:
-        for lease in leases:
-            yield lease, 16
-        for session in sessions:
-            yield session, 16 + 64 * len(session.results) + sum(
-                len(entry.value) for result in session.results.values() for entry in result.entries if entry)
-        for key, entry in entries.items():
-            yield _EntryRow(key, entry), len(key) + len(entry.value) + 24
-        for key, entry in changes:
-            yield _ChangeRow(key, entry), len(key) + len(entry.value) + 24
-
-    for row, weight in parts():
+
+def _blocks(first: list[Any], entries: dict[str, Entry], changes: list[Change], oldest: int,
+            block_bytes: int) -> Iterator[bytes]:
+    rows: list[Any] = []
+    size = state_bytes = 0
+    for row in first:
         rows.append(row)
-        size += weight
+        size += ROW_BYTES if isinstance(row, _Head | _LeaseRow) else _session_bytes(row)
         if size >= block_bytes:
             yield c.ENCODE(rows)
             rows, size = [], 0
-    if rows:
-        yield c.ENCODE(rows)
+    for key, entry in entries.items():
+        rows.append(_EntryRow(key, entry))
+        size += len(key) + len(entry.value) + ROW_BYTES
+        if size >= block_bytes:
+            yield c.ENCODE(rows)
+            rows, state_bytes, size = [], state_bytes + size, 0
+    begin, oldest = _history_worth(entries, changes, oldest, max(LEAST_HISTORY_BYTES, state_bytes + size))
+    rows.append(_HistoryRow(oldest))
+    for key, entry in changes[begin:]:
+        stands = entries.get(key) is entry
+        rows.append(_ChangeRow(key, None if stands else entry))
+        size += len(key) + ROW_BYTES + (0 if stands else len(entry.value))
+        if size >= block_bytes:
+            yield c.ENCODE(rows)
+            rows, size = [], 0
+    yield c.ENCODE(rows)
+
+
+def _history_worth(entries: dict[str, Entry], changes: list[Change], oldest: int, most_bytes: int) -> tuple[int, int]:
+    """From which change on the history goes into a snapshot, and the revision before it: as much as the state has
+    bytes, for a snapshot that is mostly overwritten values makes no start faster."""
+    size = 0
+    for back, (key, entry) in enumerate(reversed(changes)):
+        size += ROW_BYTES + len(key) + (0 if entries.get(key) is entry else len(entry.value))
+        if size > most_bytes:
+            begin = len(changes) - back
+            while begin < len(changes) and changes[begin][1].changed == entry.changed:
+                begin += 1
+            return begin, entry.changed
+    return 0, oldest
+
+
+def _session_bytes(row: _SessionRow) -> int:
+    return ROW_BYTES + sum(64 + sum(len(entry.value) for entry in result.entries if entry)
+                           for result in row.results.values())
