--- /dev/null
+++ b/mastlift/consensus/core.py
@@ -0,0 +1,642 @@
+"""The rules of Raft: a plain object. Events and the time go in, actions come out; the driver does them in order.
+
+After Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014), and Ongaro's dissertation
+(2014): pre-vote and leader stickiness (9.6, 4.2.3), one change of members at a time (4.1) and only after an entry of
+the own term is committed, learners (4.2.1), hand-over (3.10), reads without a log write (6.4), snapshots in pieces (7).
+
+What the driver owes: it does actions in their order. `Save` and `Write` go to the disk; a `Send` that is marked
+`after_sync` leaves only once all that was saved and written before it is durable; then `synced` tells the core.
+Sends that are not marked leave at once, beside the disk. Times are in milliseconds of a monotonic clock.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from mastlift.consensus.log import Log
+from mastlift.consensus.messages import (
+    Append,
+    AppendReply,
+    Entry,
+    Members,
+    Message,
+    Piece,
+    PieceReply,
+    TakeOver,
+    Vote,
+    VoteReply,
+)
+
+
+class Role(StrEnum):
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """In milliseconds. An election comes after `election` to twice that without a leader, drawn each time."""
+
+    heartbeat: float = 50.0
+    election: float = 300.0
+    batch: int = 512  # entries in one message
+    batch_bytes: int = 1 << 20
+    in_flight: int = 8  # messages to one member that are not answered yet
+    hand_over: float = 1000.0  # then the leader takes commands again
+
+
+# --- actions ---
+
+@dataclass(frozen=True, slots=True)
+class Save:
+    """The term and whom this member voted for in it, durably."""
+
+    term: int
+    vote: str
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Entries from `first` on, in place of what the log holds there."""
+
+    first: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    to: str
+    message: Message
+    after_sync: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """All entries up to `index` are committed: apply those that were not applied yet."""
+
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendPiece:
+    """Read the newest snapshot from `offset` on, and hand what is there to `piece_read`."""
+
+    to: str
+    index: int
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class StorePiece:
+    """A piece of a snapshot on its way here, in order from offset 0 on; with `last` it is whole: make it durable, load
+    it in place of the state and the log, and call `restored`."""
+
+    index: int
+    term: int
+    members: Members
+    offset: int
+    data: bytes
+    last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ReadReady:
+    """A read that began with `token` may be answered once `index` is applied."""
+
+    token: int
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLost:
+    """This member can't tell: it is no leader any more."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoleChanged:
+    role: Role
+    term: int
+    leader: str
+
+
+Action = Save | Write | Send | Commit | SendPiece | StorePiece | ReadReady | ReadLost | RoleChanged
+
+
+class NotLeader(Exception):
+    """Commands go to the leader; `leader` is its id, or empty where none is known."""
+
+    def __init__(self, leader: str) -> None:
+        super().__init__(f"the leader is {leader}" if leader else "there is no leader now")
+        self.leader = leader
+
+
+class NotNow(Exception):
+    """The text says what has to come first."""
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of a member. `next` runs ahead of the answers while `probing` is off."""
+
+    next: int
+    match: int = 0
+    probing: bool = True
+    in_flight: int = 0
+    heard: float = 0.0
+    sent: float = -1e18
+    round: int = 0
+    snapshot: int = 0  # index of the one on its way
+    offset: int = 0
+
+
+@dataclass(slots=True)
+class Core:
+    """One member. `synced_to` is what its own disk holds for sure; a leader counts itself by it."""
+
+    id: str
+    log: Log
+    rng: random.Random
+    timing: Timing = field(default_factory=Timing)
+    term: int = 0
+    vote: str = ""
+    now: float = 0.0
+    commit: int = 0
+    applied_snapshot: int = 0
+    role: Role = Role.FOLLOWER
+    leader: str = ""
+    synced_to: int = 0
+    peers: dict[str, Progress] = field(default_factory=dict)
+    _out: list[Action] = field(default_factory=list)
+    _until: float = 0.0  # when an election is due, or a leader's next check of its majority
+    _heard_leader: float = -1e18
+    _votes: set[str] = field(default_factory=set)
+    _round: int = 0
+    _reads: deque[tuple[int, int, int]] = field(default_factory=deque)  # round, token, index
+    _early_reads: list[int] = field(default_factory=list)  # before an entry of this term is committed
+    _successor: str = ""
+    _successor_until: float = 0.0
+    _incoming: tuple[int, str, int] = (0, "", 0)  # snapshot on its way here: index, from whom, offset
+
+    def __post_init__(self) -> None:
+        self.commit = max(self.commit, self.log.base)
+        self.synced_to = self.log.last
+        self._restart_timer()
+
+    # --- what the driver calls ---
+
+    def tick(self, now: float) -> list[Action]:
+        """Let time pass. Call it every quarter of a heartbeat or so."""
+        self.now = max(self.now, now)
+        if self.role is Role.LEADER:
+            self._lead()
+        elif self.now >= self._until and self.id in self.members.voters:
+            self._stand(pre=True)
+        return self._taken()
+
+    def receive(self, source: str, message: Message, now: float) -> list[Action]:
+        """A message of a member with this id. Stale, doubled and lost ones do no harm."""
+        self.now = max(self.now, now)
+        if self._about_term(source, message):
+            handlers: dict[type, Callable[[str, object], None]] = {
+                Vote: self._on_vote, VoteReply: self._on_vote_reply, Append: self._on_append,  # type: ignore[dict-item]
+                AppendReply: self._on_append_reply, Piece: self._on_piece,  # type: ignore[dict-item]
+                PieceReply: self._on_piece_reply, TakeOver: self._on_take_over}  # type: ignore[dict-item]
+            handlers[type(message)](source, message)
+        return self._taken()
+
+    def propose(self, data: list[bytes], now: float) -> tuple[int, list[Action]]:
+        """Put commands into the order; the first one's index. They hold once a Commit reaches them, if the term there
+        is still this one. Raises NotLeader, NotNow while handing over."""
+        self.now = max(self.now, now)
+        self._must_lead()
+        first = self._append([Entry(self.term, one) for one in data])
+        return first, self._taken()
+
+    def change(self, members: Members, now: float) -> tuple[int, list[Action]]:
+        """Add or take away one voter, or any learners. Raises NotLeader, NotNow."""
+        self.now = max(self.now, now)
+        self._must_lead()
+        current = self.members
+        if self.log.last_change > self.commit:
+            raise NotNow("a change of members is on its way")
+        if self.log.term(self.commit) != self.term:
+            raise NotNow("nothing of this term is committed yet")
+        if len(set(current.voters) ^ set(members.voters)) > 1:
+            raise NotNow("voters change one at a time")
+        if not members.voters:
+            raise NotNow("a group has a voter")
+        for added in set(members.voters) - set(current.voters):
+            progress = self.peers.get(added)
+            if progress is None or progress.match < self.commit:
+                raise NotNow(f"{added} has not caught up: add it as a learner first")
+        first = self._append([Entry(self.term, b"", members)])
+        return first, self._taken()
+
+    def synced(self, index: int, term: int) -> list[Action]:
+        """All that was saved and written so far is durable; the log's end was then `index` of `term`."""
+        if self.log.term(index) == term:  # else it was replaced meanwhile, and another sync will come
+            self.synced_to = max(self.synced_to, index)
+        if self.role is Role.LEADER:
+            self._advance()
+        return self._taken()
+
+    def read(self, token: int, now: float) -> list[Action]:
+        """Ask for a linearizable read: ReadReady or ReadLost with this token will come. Raises NotLeader."""
+        self.now = max(self.now, now)
+        if self.role is not Role.LEADER:
+            raise NotLeader(self.leader)
+        if self.log.term(self.commit) != self.term:
+            self._early_reads.append(token)
+        else:
+            self._begin_read(token)
+        return self._taken()
+
+    def hand_over(self, to: str, now: float) -> list[Action]:
+        """Let `to` lead, once it has the whole log. Until then, or until time is up, no commands are taken."""
+        self.now = max(self.now, now)
+        self._must_lead()
+        if to not in self.members.voters or to == self.id:
+            raise NotNow(f"{to} is no other voter")
+        self._successor, self._successor_until = to, self.now + self.timing.hand_over
+        self._push_over()
+        return self._taken()
+
+    def compacted(self, index: int) -> None:
+        """The driver has a durable snapshot of all up to `index`, which was committed."""
+        self.log.compact(min(index, self.commit))
+
+    def piece_read(self, to: str, index: int, offset: int, data: bytes, last: bool) -> list[Action]:
+        """What `SendPiece` asked for. A snapshot that is no longer the newest ends in asking again."""
+        progress = self.peers.get(to)
+        if self.role is Role.LEADER and progress is not None and progress.snapshot == index == self.log.base:
+            self._send(to, Piece(self.term, index, self.log.base_term, self.log.base_members, offset, data, last,
+                                 self._round))
+        return self._taken()
+
+    def restored(self, index: int, term: int, members: Members) -> list[Action]:
+        """The snapshot that StorePiece completed is durable and loaded."""
+        if index > self.commit:
+            if self.log.term(index) == term:
+                self.log.compact(index)
+            else:
+                self.log.restart_from(index, term, members)
+            self.commit = index
+            self.synced_to = max(index, min(self.synced_to, self.log.last))
+        if self.leader:
+            self._send(self.leader, AppendReply(self.term, True, index, 0), after_sync=True)
+        return self._taken()
+
+    @property
+    def members(self) -> Members:
+        return self.log.members()
+
+    @property
+    def changing(self) -> bool:
+        """Is a change of members not committed yet?"""
+        return self.log.last_change > self.commit
+
+    # --- terms and elections ---
+
+    def _taken(self) -> list[Action]:
+        taken, self._out = self._out, []
+        return taken
+
+    def _send(self, to: str, message: Message, after_sync: bool = False) -> None:
+        self._out.append(Send(to, message, after_sync))
+
+    def _restart_timer(self) -> None:
+        self._until = self.now + self.timing.election * self.rng.uniform(1.0, 2.0)
+
+    def _save(self, term: int, vote: str) -> None:
+        self.term, self.vote = term, vote
+        self._out.append(Save(term, vote))
+
+    def _become(self, role: Role, leader: str) -> None:
+        changed = (role, leader) != (self.role, self.leader)
+        if self.role is Role.LEADER and role is not Role.LEADER:
+            for _, token, _ in self._reads:
+                self._out.append(ReadLost(token))
+            self._out += [ReadLost(token) for token in self._early_reads]
+            self._reads.clear()
+            self._early_reads.clear()
+            self._successor = ""
+            self.peers = {}
+        self.role, self.leader = role, leader
+        if changed:
+            self._out.append(RoleChanged(role, self.term, leader))
+
+    def _follow(self, term: int, leader: str) -> None:
+        if term > self.term:
+            self._save(term, "")
+        self._become(Role.FOLLOWER, leader)
+        self._restart_timer()
+
+    def _sticks(self) -> bool:
+        """Has this member a leader that it heard within the shortest election time? Then it lets nobody unseat it."""
+        if self.role is Role.LEADER:
+            return self._majority_heard()
+        return bool(self.leader) and self.now - self._heard_leader < self.timing.election
+
+    def _about_term(self, source: str, message: Message) -> bool:
+        """Look at the term first; False where the message needs no more."""
+        if message.term < self.term:
+            if isinstance(message, Append | Piece):  # a leader of the past learns that it is one
+                self._send(source, AppendReply(self.term, False, 0, 0))
+            elif isinstance(message, Vote):
+                self._send(source, VoteReply(self.term, False, message.pre))
+            return False
+        if isinstance(message, Vote) and not message.handed_over and self._sticks():
+            return False
+        if message.term > self.term:
+            if isinstance(message, Vote | VoteReply) and message.pre and (
+                    isinstance(message, Vote) or message.granted):
+                return True  # a term that nobody has entered yet
+            self._follow(message.term, source if isinstance(message, Append | Piece) else "")
+        return True
+
+    def _stand(self, pre: bool, handed_over: bool = False) -> None:
+        self._restart_timer()
+        self._votes = {self.id}
+        if pre:
+            self._become(Role.PRE_CANDIDATE, "")
+        else:
+            self._save(self.term + 1, self.id)
+            self._become(Role.CANDIDATE, "")
+        ask = Vote(self.term + pre, self.log.last, self.log.last_term, pre, handed_over)
+        for peer in self.members.voters:
+            if peer != self.id:
+                self._send(peer, ask, after_sync=not pre)
+        if self.members.voters == (self.id,):
+            self._won(pre)
+
+    def _won(self, pre: bool) -> None:
+        if pre:
+            self._stand(pre=False)
+        else:
+            self._lead_from_now()
+
+    def _on_vote(self, source: str, ask: Vote) -> None:
+        current = (ask.last_term, ask.last_index) >= (self.log.last_term, self.log.last)
+        if ask.pre:
+            if source in self.members.voters or current:
+                self._send(source, VoteReply(ask.term if current else self.term, current, True))
+            return
+        granted = current and self.vote in ("", source) and self.role is not Role.LEADER
+        if granted:
+            if self.vote != source:
+                self._save(self.term, source)
+            self._restart_timer()
+        self._send(source, VoteReply(self.term, granted), after_sync=True)
+
+    def _on_vote_reply(self, source: str, reply: VoteReply) -> None:
+        wanted = Role.PRE_CANDIDATE if reply.pre else Role.CANDIDATE
+        if self.role is not wanted or reply.term != self.term + reply.pre or not reply.granted:
+            return
+        self._votes.add(source)
+        if len(self._votes & set(self.members.voters)) >= self.members.majority:
+            self._won(reply.pre)
+
+    def _on_take_over(self, source: str, message: TakeOver) -> None:
+        if self.id in self.members.voters and self.role is not Role.LEADER:
+            self._stand(pre=False, handed_over=True)
+
+    # --- leading ---
+
+    def _must_lead(self) -> None:
+        if self.role is not Role.LEADER:
+            raise NotLeader(self.leader)
+        if self._successor:
+            raise NotNow(f"leadership is being handed over to {self._successor}")
+
+    def _lead_from_now(self) -> None:
+        self._become(Role.LEADER, self.id)
+        self.peers = {}
+        self._successor = ""
+        self._until = self.now + self.timing.election
+        self._append([Entry(self.term)])  # commits what terms before left, by an entry of this one (5.4.2)
+
+    def _refresh_peers(self) -> None:
+        wanted = set(self.members.all()) - {self.id}
+        for gone in self.peers.keys() - wanted:
+            del self.peers[gone]
+        for new in sorted(wanted - self.peers.keys()):
+            self.peers[new] = Progress(self.log.last + 1, heard=self.now)
+
+    def _append(self, entries: list[Entry]) -> int:
+        first = self.log.last + 1
+        self.log.put(first, entries)
+        self._out.append(Write(first, tuple(entries)))
+        self._refresh_peers()
+        for peer in self.peers:
+            self._feed(peer)
+        self._advance()
+        return first
+
+    def _majority_heard(self) -> bool:
+        voters = self.members.voters
+        heard = sum(1 for peer, progress in self.peers.items()
+                    if peer in voters and self.now - progress.heard < self.timing.election)
+        return heard + (self.id in voters) >= self.members.majority
+
+    def _lead(self) -> None:
+        if self.now >= self._until:
+            self._until = self.now + self.timing.election / 4
+            if not self._majority_heard():  # nobody can be told anything: let those who can hear each other go on
+                self._become(Role.FOLLOWER, "")
+                self._restart_timer()
+                return
+        if self._successor and self.now >= self._successor_until:
+            self._successor = ""
+        beat = [peer for peer, progress in self.peers.items()
+                if self.now - progress.sent >= self.timing.heartbeat]
+        if beat:
+            self._round += 1
+        for peer in beat:
+            progress = self.peers[peer]
+            if self.now - progress.heard >= self.timing.election:
+                progress.probing = True  # answers may be lost: find out anew what it has
+            if progress.probing or progress.snapshot:
+                progress.in_flight = 0
+            self._feed(peer, beat=True)
+
+    def _feed(self, peer: str, beat: bool = False) -> None:
+        """Send a member what it lacks, as far as its messages in flight allow; on a beat at least a heartbeat."""
+        progress = self.peers[peer]
+        if progress.next <= self.log.base:
+            if beat or not progress.snapshot:
+                if progress.snapshot != self.log.base:
+                    progress.snapshot, progress.offset = self.log.base, 0
+                progress.sent = self.now
+                self._out.append(SendPiece(peer, progress.snapshot, progress.offset))
+            return
+        progress.snapshot = 0
+        sent = False
+        while progress.in_flight < (1 if progress.probing else self.timing.in_flight):
+            entries = self.log.slice(progress.next, self.timing.batch, self.timing.batch_bytes)
+            if not entries:
+                break
+            self._send_append(peer, progress, entries)
+            sent = True
+            if progress.probing:
+                break
+            progress.next += len(entries)
+        if beat and not sent:
+            self._send_append(peer, progress, ())
+
+    def _send_append(self, peer: str, progress: Progress, entries: tuple[Entry, ...]) -> None:
+        previous = progress.next - 1
+        term = self.log.term(previous)
+        assert term is not None
+        progress.sent = self.now
+        progress.in_flight += bool(entries)
+        self._send(peer, Append(self.term, previous, term, entries, min(self.commit, previous + len(entries)),
+                                self._round))
+
+    def _on_append_reply(self, source: str, reply: AppendReply) -> None:
+        progress = self.peers.get(source)
+        if self.role is not Role.LEADER or progress is None:
+            return
+        progress.heard = self.now
+        progress.round = max(progress.round, reply.round)
+        progress.in_flight = max(0, progress.in_flight - 1)
+        if reply.ok:
+            if reply.match >= progress.match:
+                progress.match = reply.match
+                progress.next = max(progress.next, reply.match + 1) if not progress.probing else reply.match + 1
+                progress.probing = False
+            self._advance()
+            if source == self._successor:
+                self._push_over()
+        elif reply.conflict > progress.match or reply.conflict_term:
+            found = self.log.last_of_term(reply.conflict_term, reply.conflict) if reply.conflict_term else None
+            progress.next = max(progress.match + 1, (found + 1) if found is not None else reply.conflict)
+            progress.probing, progress.in_flight = True, 0
+        self._confirm_reads()
+        if self.role is Role.LEADER and source in self.peers:
+            self._feed(source)
+
+    def _on_piece_reply(self, source: str, reply: PieceReply) -> None:
+        progress = self.peers.get(source)
+        if self.role is not Role.LEADER or progress is None:
+            return
+        progress.heard, progress.round = self.now, max(progress.round, reply.round)
+        self._confirm_reads()
+        if progress.snapshot == reply.index and reply.offset != progress.offset:
+            progress.offset, progress.sent = reply.offset, self.now
+            self._out.append(SendPiece(source, progress.snapshot, progress.offset))
+
+    def _advance(self) -> None:
+        """Commit what a majority holds durably, counted at an entry of this term (5.4.2)."""
+        voters = self.members.voters
+        held = sorted((self.synced_to if voter == self.id else self.peers[voter].match if voter in self.peers else 0
+                       for voter in voters), reverse=True)
+        index = held[self.members.majority - 1]
+        if index > self.commit and self.log.term(index) == self.term:
+            self.commit = index
+            self._out.append(Commit(index))
+            early, self._early_reads = self._early_reads, []
+            for token in early:
+                self._begin_read(token)
+            if self.id not in self.log.members_at(index).voters and self.log.last_change <= index:
+                self._become(Role.FOLLOWER, "")  # its own removal is committed: its work is done
+                self._restart_timer()
+                return
+            for peer in self.peers:
+                if self.peers[peer].next > self.log.last and not self.peers[peer].in_flight:
+                    self._feed(peer, beat=True)  # tell of the commit now, not with the next beat
+
+    def _push_over(self) -> None:
+        progress = self.peers.get(self._successor)
+        if progress is not None and progress.match == self.log.last:
+            self._send(self._successor, TakeOver(self.term))
+
+    # --- reads ---
+
+    def _begin_read(self, token: int) -> None:
+        self._round += 1
+        self._reads.append((self._round, token, self.commit))
+        if self.members.voters == (self.id,):
+            self._confirm_reads()
+            return
+        for peer, progress in self.peers.items():
+            if progress.next > self.log.base:
+                self._send_append(peer, progress, ())
+
+    def _confirm_reads(self) -> None:
+        """A read holds once a majority has answered a message that was sent after it began."""
+        voters = self.members.voters
+        rounds = sorted((self._round if voter == self.id else self.peers[voter].round if voter in self.peers else -1
+                         for voter in voters), reverse=True)
+        confirmed = rounds[self.members.majority - 1]
+        while self._reads and self._reads[0][0] <= confirmed:
+            _, token, index = self._reads.popleft()
+            self._out.append(ReadReady(token, index))
+
+    # --- following ---
+
+    def _heard(self, source: str) -> None:
+        self._heard_leader = self.now
+        if self.role is not Role.FOLLOWER or self.leader != source:
+            self._become(Role.FOLLOWER, source)
+        self._restart_timer()
+
+    def _on_append(self, source: str, message: Append) -> None:
+        if self.role is Role.LEADER:
+            return  # nobody else leads this term
+        self._heard(source)
+        previous, entries = message.previous, message.entries
+        if previous < self.log.base:  # part of it is in the snapshot
+            skip = self.log.base - previous
+            if skip > len(entries):
+                self._reply(source, True, self.log.base, message.round)
+                return
+            previous, entries = self.log.base, entries[skip:]
+        elif self.log.term(previous) != message.previous_term:
+            if previous > self.log.last:
+                self._reply(source, False, 0, message.round, self.log.last + 1)
+            else:
+                first = self.log.first_of_term(previous)
+                self._reply(source, False, 0, message.round, first, self.log.term(previous) or 0)
+            return
+        for at, entry in enumerate(entries):
+            index = previous + 1 + at
+            if self.log.term(index) != entry.term:
+                assert index > self.commit, "a committed entry would be replaced"
+                self.log.put(index, entries[at:])
+                self.synced_to = min(self.synced_to, index - 1)
+                self._out.append(Write(index, entries[at:]))
+                break
+        match = previous + len(entries)
+        self._reply(source, True, match, message.round)
+        if min(message.commit, match) > self.commit:
+            self.commit = min(message.commit, match)
+            self._out.append(Commit(self.commit))
+
+    def _reply(self, to: str, ok: bool, match: int, round_: int, conflict: int = 0, conflict_term: int = 0) -> None:
+        self._send(to, AppendReply(self.term, ok, match, round_, conflict, conflict_term), after_sync=True)
+
+    def _on_piece(self, source: str, piece: Piece) -> None:
+        if self.role is Role.LEADER:
+            return
+        self._heard(source)
+        if piece.index <= self.commit:
+            self._reply(source, True, piece.index, piece.round)
+            return
+        index, origin, offset = self._incoming
+        if (index, origin) != (piece.index, source):
+            offset = 0
+        if piece.offset == offset:
+            offset += len(piece.data)
+            self._out.append(StorePiece(piece.index, piece.index_term, piece.members, piece.offset, piece.data,
+                                        piece.last))
+        self._incoming = (piece.index, source, 0 if piece.last else offset)
+        if not piece.last:
+            self._send(source, PieceReply(self.term, piece.index, offset, piece.round))
--- a/mastlift/lab/cli.py
+++ b/mastlift/lab/cli.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import tempfile
+from functools import partial
 from pathlib import Path
 from typing import Annotated
 
@@ -65,6 +66,41 @@
              "damages_outlived": sum(n for k, n in damage.items() if "recovered" in k)}, json, broken)
 
 
+@app.command()
+def check(what: Annotated[str, typer.Argument(help="consensus")],
+          runs: Annotated[int, typer.Option(min=1, help="How many schedules.")] = 200, seed: Seed = 0,
+          without: Annotated[str, typer.Option(help="Leave out the faults of these numbers: 3,5,7")] = "",
+          mutation: Annotated[str, typer.Option(help="Break this rule on purpose, or `all` in turn.")] = "",
+          json: Json = False) -> None:
+    """Play schedules of a group in simulated time and check its rules at each step, and its clients' history.
+
+    Exit code 1 with the first schedule that breaks a rule, shrunk: `--runs 1 --seed S --without ...` replays it."""
+    from mastlift.lab import schedules
+
+    if what != "consensus":
+        typer.echo(f"mastlift: there is no check '{what}'; there is: consensus", err=True)
+        raise typer.Exit(2)
+    known = schedules.mutations()
+    names = known if mutation == "all" else [mutation]
+    if mutation and not set(names) <= set(known):
+        typer.echo(f"mastlift: --mutation: '{mutation}' is not known; known: {', '.join(known)}", err=True)
+        raise typer.Exit(2)
+    skipped = frozenset(int(number) for number in without.split(",") if number)
+    told: dict[str, object] = {}
+    broken: list[str] = []
+    with Progress(transient=True, disable=json) as progress:
+        for name in names:
+            advance = partial(progress.advance, progress.add_task(name or what, total=runs))
+            found = schedules.play(range(seed, seed + runs), skipped, name, advance)
+            if mutation == "all":
+                told[name] = f"found after {found.schedules} schedules" if found.broken else "NOT FOUND"
+                broken += [] if found.broken else [f"{name} was not found in {runs} schedules"]
+            else:
+                told = {"schedules": found.schedules, **found.seen}
+                broken = [found.broken, *found.trace] if found.broken else []
+    _finish(told, json, broken)
+
+
 @app.command()
 def kill(kills: Annotated[int, typer.Option(min=1)] = 50, writers: Annotated[int, typer.Option(min=1)] = 16,
          seed: Seed = 0, json: Json = False) -> None:
--- a/mastlift/lab/mutations.py
+++ b/mastlift/lab/mutations.py
@@ -7,8 +7,15 @@
 from typing import Any
 from unittest import mock
 
+from msgspec import structs
+
+from mastlift.consensus import core
+from mastlift.consensus.log import Log
+from mastlift.consensus.messages import AppendReply, Entry, Message, Vote, VoteReply
 from mastlift.durable import frames, journal
+from mastlift.lab import groupsim
 from mastlift.lab.simdisk import SimDisk
+from mastlift.store.machine import Store
 
 
 def _put_without_sync(self: journal.Journal, pieces: tuple[bytes, ...]) -> None:
@@ -31,9 +38,82 @@
 }
 
 
+_send, _on_vote, _put, _load, _append = (core.Core._send, core.Core._on_vote, Log.put, groupsim.load_snapshot,
+                                         core.Core._append)
+
+
+def _send_at_once(kind: type[Any]) -> Any:
+    def send(self: core.Core, to: str, message: Message, after_sync: bool = False) -> None:
+        _send(self, to, message, after_sync and not isinstance(message, kind))
+    return send
+
+
+def _vote_for_any_log(self: core.Core, source: str, ask: Vote) -> None:
+    _on_vote(self, source, structs.replace(ask, last_index=1 << 60, last_term=1 << 60))
+
+
+def _vote_again(self: core.Core, source: str, ask: Vote) -> None:
+    self.vote = ""
+    _on_vote(self, source, ask)
+
+
+def _advance_by_count(self: core.Core) -> None:
+    held = sorted((self.synced_to if voter == self.id else self.peers[voter].match if voter in self.peers else 0
+                   for voter in self.members.voters), reverse=True)
+    if held[self.members.majority - 1] > self.commit:
+        self.commit = held[self.members.majority - 1]
+        self._out.append(core.Commit(self.commit))
+
+
+def _read_at_once(self: core.Core, token: int) -> None:
+    self._out.append(core.ReadReady(token, self.commit))
+
+
+def _count_unsynced(self: core.Core, entries: list[Entry]) -> int:
+    self.synced_to = self.log.last + len(entries)
+    return _append(self, entries)
+
+
+def _keep_conflicts(self: Log, first: int, entries: Any) -> None:
+    _put(self, max(first, self.last + 1), entries[max(0, self.last + 1 - first):])
+
+
+def _forget_sessions(data: bytes) -> Store:
+    store = _load(data)
+    store.sessions.by_id = {number: type(session)() for number, session in store.sessions.by_id.items()}
+    return store
+
+
+def _empty_in_place(self: groupsim.Group, node: groupsim.Node) -> None:
+    self.crash(node)
+    self._make(node.id, node.name, groupsim.Durable(base_members=self._newest_members()))
+
+
+def _no_pre_vote(self: core.Core, pre: bool, handed_over: bool = False) -> None:
+    _stand(self, False, handed_over)
+
+
+_stand = core.Core._stand
+
+GROUP_MUTATIONS: dict[str, tuple[Any, str, Any]] = {
+    "vote-not-synced": (core.Core, "_send", _send_at_once(VoteReply)),
+    "append-not-synced": (core.Core, "_send", _send_at_once(AppendReply)),
+    "leader-counts-unsynced": (core.Core, "_append", _count_unsynced),
+    "older-term-by-count": (core.Core, "_advance", _advance_by_count),
+    "read-without-majority": (core.Core, "_begin_read", _read_at_once),
+    "two-changes-at-once": (Log, "last_change", property(lambda self: 0)),
+    "no-pre-vote": (core.Core, "_stand", _no_pre_vote),
+    "snapshot-without-sessions": (groupsim, "load_snapshot", _forget_sessions),
+    "conflicts-kept": (Log, "put", _keep_conflicts),
+    "emptied-disk-votes": (groupsim.Group, "_empty", _empty_in_place),
+    "vote-for-any-log": (core.Core, "_on_vote", _vote_for_any_log),
+    "two-votes-a-term": (core.Core, "_on_vote", _vote_again),
+}
+
+
 @contextmanager
 def mutated(name: str) -> Iterator[None]:
     """Within this, the named rule is not kept. Raises KeyError for a name that is not known."""
-    owner, attribute, broken = MUTATIONS[name]
+    owner, attribute, broken = (MUTATIONS | GROUP_MUTATIONS)[name]
     with mock.patch.object(owner, attribute, broken):
         yield
--- /dev/null
+++ b/mastlift/lab/schedules.py
@@ -0,0 +1,75 @@
+"""Many schedules at once, over all cores; the first broken one is shrunk and told so that it replays."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from contextlib import nullcontext
+from dataclasses import dataclass, field
+from itertools import islice
+from os import cpu_count
+
+from mastlift.lab.crash import Broken
+from mastlift.lab.groupsim import check_group, shrink
+from mastlift.lab.mutations import GROUP_MUTATIONS, mutated
+
+AT_ONCE = 8  # schedules handed to a process together
+
+
+def mutations() -> list[str]:
+    return list(GROUP_MUTATIONS)
+
+
+@dataclass(slots=True)
+class Found:
+    """`schedules` were played; `broken` tells of the first one that broke a rule, and how to replay it."""
+
+    schedules: int = 0
+    seen: Counter[str] = field(default_factory=Counter)
+    broken: str = ""
+    trace: list[str] = field(default_factory=list)
+
+
+def _some(seeds: list[int], without: frozenset[int], mutation: str) -> tuple[Counter[str], int | None, str]:
+    seen = Counter[str]()
+    with mutated(mutation) if mutation else nullcontext():
+        for seed in seeds:
+            try:
+                seen += check_group(seed, without)
+            except (Broken, AssertionError, IndexError) as error:  # the core's own assertions count too
+                return seen, seed, f"{type(error).__name__}: {error}"
+    return seen, None, ""
+
+
+def play(seeds: Iterable[int], without: frozenset[int] = frozenset(), mutation: str = "",
+         progress: Callable[[int], None] = lambda n: None, shrink_tries: int = 200) -> Found:
+    """Play the schedules of these seeds; ends at the first that breaks a rule, the lowest of those under way, and
+    shrinks it in so many tries."""
+    found, left = Found(), iter(seeds)
+    groups = iter(lambda: list(islice(left, AT_ONCE)), [])
+    worst: tuple[int, str] | None = None
+    with ProcessPoolExecutor(cpu_count()) as pool:
+        futures = {}
+        for group in groups:
+            futures[pool.submit(_some, group, without, mutation)] = group
+        for future in as_completed(futures):
+            if future.cancelled():
+                continue
+            group = futures[future]
+            seen, seed, text = future.result()
+            found.seen += seen
+            done = len(group) if seed is None else group.index(seed) + 1
+            found.schedules += done
+            progress(done)
+            if seed is not None:
+                worst = min(worst or (seed, text), (seed, text))
+                for other in futures:
+                    other.cancel()
+    if worst is not None:
+        with mutated(mutation) if mutation else nullcontext():
+            fewer, text, found.trace = shrink(worst[0], shrink_tries) if not without else (without, "", [])
+        found.broken = (f"{text or worst[1]}  (replay: mastlift lab check consensus --runs 1 --seed {worst[0]}"
+                        + (f" --without {','.join(map(str, sorted(fewer)))}" if fewer else "")
+                        + (f" --mutation {mutation})" if mutation else ")"))
+    return found
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,133 @@
+"""The core of the group: its rules under drawn schedules, each rule broken on purpose, and cases played by hand."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from mastlift.consensus import core as r
+from mastlift.consensus.log import Log
+from mastlift.consensus.messages import Append, AppendReply, Entry, Members, Vote, VoteReply
+from mastlift.lab.groupsim import Faults, Group, check_group
+from mastlift.lab.schedules import play
+
+THREE = Members(("a", "b", "c"))
+
+
+def test_the_rules_hold_in_drawn_schedules() -> None:
+    found = play(range(64))
+    assert not found.broken, (found.broken, found.trace)
+    assert found.schedules == 64 and found.seen["operations"] > 20_000
+    for what in ("crash", "crash at sync", "pause", "cut", "one way", "replace", "grow", "shrink", "hand over",
+                 "snapshot installed"):
+        assert found.seen[what] > 10, what
+
+
+@pytest.mark.parametrize("name", ["snapshot-without-sessions", "no-pre-vote", "conflicts-kept", "emptied-disk-votes",
+                                  "vote-for-any-log", "two-votes-a-term", "read-without-majority", "append-not-synced"])
+def test_a_rule_broken_on_purpose_is_found_and_shrinks(name: str) -> None:
+    """The rarer ones (a hundred schedules and more) are for `lab check consensus --mutation all --runs 1000`."""
+    found = play(range(64), mutation=name, shrink_tries=12)
+    assert found.broken and f"--mutation {name}" in found.broken
+
+
+def test_one_seed_replays_one_schedule() -> None:
+    first, again = Group(5), Group(5)
+    first.run()
+    again.run()
+    assert first.trace == again.trace and first.states == again.states
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_group_finds_a_leader_again_soon_after_it_was_killed(seed: int) -> None:
+    """At most two election time-outs at their longest, in the simulated time of a calm network."""
+    group = Group(seed, members=5, length_ms=8000.0, faults=Faults(0.0, 0.0, 0.0, 1e12))
+
+    def kill() -> None:
+        leader = group._leader()
+        if leader is not None:
+            group.crash(leader)
+            group._lost_leader_at = group.now
+            group.after(500.0, lambda: group.restart(leader))
+    for at in (1500.0, 3000.0, 4500.0):
+        group.at(at, kill)
+    group.run()
+    longest = 2 * r.Timing().election
+    assert len(group.leaderless) >= 3 and max(group.leaderless) <= 2 * longest
+
+
+def member(id_: str, members: Members = THREE, entries: list[Entry] | None = None, term: int = 0) -> r.Core:
+    return r.Core(id_, Log(0, 0, members, entries), random.Random(1), term=term)
+
+
+def sends(actions: list[r.Action]) -> list[r.Send]:
+    return [action for action in actions if isinstance(action, r.Send)]
+
+
+def test_a_vote_is_given_once_a_term_and_leaves_after_its_sync() -> None:
+    one = member("a")
+    actions = one.receive("b", Vote(3, 0, 0), 1000.0)
+    assert r.Save(3, "b") in actions
+    assert sends(actions) == [r.Send("b", VoteReply(3, True), after_sync=True)]
+    assert sends(one.receive("c", Vote(3, 9, 2), 1001.0)) == [r.Send("c", VoteReply(3, False), after_sync=True)]
+    assert sends(one.receive("b", Vote(3, 0, 0), 1002.0)) == [r.Send("b", VoteReply(3, True), after_sync=True)]
+
+
+def test_a_member_that_hears_its_leader_lets_nobody_unseat_it() -> None:
+    one = member("a")
+    one.receive("b", Append(2, 0, 0, (), 0, 1), 1000.0)
+    assert one.receive("c", Vote(9, 50, 8), 1100.0) == [] and one.term == 2
+    assert sends(one.receive("c", Vote(9, 50, 8, handed_over=True), 1100.0))[0].message == VoteReply(9, True)
+
+
+def test_conflicts_are_found_by_term_and_old_leaders_are_told() -> None:
+    mine = [Entry(term, b"x") for term in (1, 1, 2, 2, 2)]
+    one = member("a", entries=mine, term=4)
+    (reply,) = sends(one.receive("b", Append(4, 5, 3, (), 0, 7), 10.0))
+    assert reply.message == AppendReply(4, False, 0, 7, conflict=3, conflict_term=2) and reply.after_sync
+    (reply,) = sends(one.receive("b", Append(4, 9, 3, (), 0, 8), 11.0))
+    assert reply.message == AppendReply(4, False, 0, 8, conflict=6)
+    actions = one.receive("b", Append(4, 2, 1, (Entry(3, b"y"),), 3, 9), 12.0)
+    assert r.Write(3, (Entry(3, b"y"),)) in actions and one.log.last == 3 and r.Commit(3) in actions
+    assert sends(one.receive("c", Append(2, 0, 0, (), 0, 1), 13.0))[0].message == AppendReply(4, False, 0, 0)
+
+
+def test_members_change_one_at_a_time_and_only_when_caught_up() -> None:
+    one = member("a", Members(("a",)))
+    one.tick(10_000.0)
+    one.synced(1, 1)
+    assert one.role is r.Role.LEADER and one.commit == 1
+    for wanted, why in ((Members(("a", "d")), "caught up"), (Members(("a", "d", "e")), "one at a time"),
+                        (Members(()), "one at a time|has a voter")):
+        with pytest.raises(r.NotNow, match=why):
+            one.change(wanted, 10_001.0)
+    one.change(Members(("a",), ("d",)), 10_001.0)
+    with pytest.raises(r.NotNow, match="on its way"):
+        one.change(Members(("a",), ("d", "e")), 10_002.0)
+    one.synced(2, 1)
+    assert one.commit == 2
+    one.receive("d", AppendReply(1, True, 2, 0), 10_003.0)
+    index, _ = one.change(Members(("a", "d")), 10_004.0)
+    one.synced(index, 1)
+    assert one.commit == 2  # two voters from the moment it is in the log
+    one.receive("d", AppendReply(1, True, index, 0), 10_005.0)
+    assert one.commit == index
+
+
+def test_a_leader_that_a_majority_does_not_hear_steps_down_and_its_reads_are_lost() -> None:
+    group = Group(3, members=3, length_ms=4000.0, faults=Faults(0.0, 0.0, 0.0, 1e12))
+    lost: list[int | None] = []
+
+    def cut() -> None:
+        leader = group._leader()
+        assert leader is not None
+        for other in group.nodes.keys() - {leader.id}:
+            group.cut |= {(leader.id, other), (other, leader.id)}
+        leader.tokens[77] = lost.append
+        group._do(leader, leader.core.read(77, group.now * leader.rate))
+        group.after(600.0, lambda: lost.append(int(leader.core.role is r.Role.LEADER)))
+    group.at(1500.0, cut)
+    group.at(3000.0, group.cut.clear)
+    group.run()
+    assert lost == [None, 0] and check_group(3)
