--- a/mastlift/cli.py
+++ b/mastlift/cli.py
@@ -11,6 +11,7 @@
 import msgspec
 import typer
 
+from mastlift.duty.cli import app as duty_app
 from mastlift.lab.cli import app as lab_app
 from mastlift.logs import LogForm, start_logging
 
@@ -29,7 +30,10 @@
 state_app = typer.Typer(help="Look at, check, back up and restore a keeper's folder.", no_args_is_help=True)
 app.add_typer(keeper_app, name="keeper")
 app.add_typer(kv_app, name="kv")
+group_app = typer.Typer(help="The group of keepers: who belongs, who leads, who lags.", no_args_is_help=True)
 app.add_typer(state_app, name="state")
+app.add_typer(group_app, name="group")
+app.add_typer(duty_app, name="duty")
 app.add_typer(lab_app, name="lab")
 
 Json = Annotated[bool, typer.Option("--json", help="One JSON object, for programs.")]
@@ -80,14 +84,16 @@
 @plainly
 def keeper_run(config: Annotated[Path, typer.Option(help="Settings, TOML: [keeper] name, listen, data.")],
                log: Annotated[LogForm, typer.Option(help="The form of the log on standard error.")] = LogForm.AUTO,
-               ) -> None:
+               new_group: Annotated[bool, typer.Option("--new-group", help="This empty folder is one of those that the "
+                                                       "group of the settings begins with. Only ever at its first "
+                                                       "start: an emptied disk comes back without.")] = False) -> None:
     """Serve the store from this machine's disk until SIGTERM."""
     from mastlift.keeper import process
     from mastlift.keeper.config import Settings
     from mastlift.settings import load
 
     start_logging(log)
-    process.run(load(config, Settings), config.parent)
+    process.run(load(config, Settings), config.parent, new_group=new_group)
 
 
 def _with_keeper(keepers: str, within: float, work: Callable[[Any], Any]) -> Any:
@@ -199,6 +205,57 @@
     _with_keeper(keepers, within, work)
 
 
+def _change_group(do: str, name: str, keepers: str, within: float, json: bool) -> None:
+    told = _with_keeper(keepers, within, lambda client: client.change_group(do, name))
+    show(told) if json else typer.echo(f"{do} {name}: voters {', '.join(told['voters'])}"
+                                       + (f"; learners {', '.join(told['learners'])}" if told["learners"] else ""))
+
+
+@group_app.command("status")
+@plainly
+def group_status(keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 3.0, json: Json = False) -> None:
+    """What each named keeper says of the group. Exit code 1 if none of them leads."""
+    import asyncio
+
+    from rich.console import Console
+    from rich.table import Table
+
+    from mastlift.keeper.client import ask_each
+
+    told = asyncio.run(ask_each([name.strip() for name in keepers.split(",")], "/v1/group", within))
+    if json:
+        show(told)
+    else:
+        table = Table("keeper", "id", "role", "term", "commit", "applied", "last", "lag of others", box=None)
+        for keeper, one in told.items():
+            table.add_row(keeper, *(str(one.get(name, one.get("error", "-"))) for name in (
+                "id", "role", "term", "commit", "applied", "last", "lag")))
+        Console(width=160).print(table)
+    if not any(one.get("role") == "leader" for one in told.values()):
+        fail(NO, "none of these keepers leads")
+
+
+@group_app.command("add")
+@plainly
+def group_add(name: str, keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0, json: Json = False) -> None:
+    """Let a keeper of this name in: start it (without --new-group) and it becomes a learner, then a voter."""
+    _change_group("add", name, keepers, within, json)
+
+
+@group_app.command("remove")
+@plainly
+def group_remove(name: str, keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0, json: Json = False) -> None:
+    """Take a member out. It is not taken in again until `group add`."""
+    _change_group("remove", name, keepers, within, json)
+
+
+@group_app.command("hand-over")
+@plainly
+def group_hand_over(name: str, keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0, json: Json = False) -> None:
+    """Have this member lead."""
+    _change_group("hand-over", name, keepers, within, json)
+
+
 def _folder(path: Path) -> Any:
     from mastlift.durable.disk import RealDisk
     return RealDisk(path)
@@ -232,15 +289,21 @@
 def state_show(folder: Folder, keys: Annotated[bool, typer.Option(help="The keys, too.")] = False,
                json: Json = False) -> None:
     """What a start would find: whose folder it is, its revision, and how far its snapshot and log reach."""
+    from mastlift.consensus.kept import Kept, of_a_group
     from mastlift.durable.archive import read_live
     from mastlift.store.machine import Store
 
     store = Store()
-    identity, recovery = read_live(_folder(folder), store)
+    disk = _folder(folder)
+    kept = Kept(store) if of_a_group(disk) else None
+    identity, recovery = read_live(disk, kept or store)
     told = {"name": identity.name, "life": identity.life, "format": identity.format, "revision": store.revision,
             "index": store.index, "snapshot": recovery.snapshot, "entries_after_snapshot": recovery.entries,
             "keys": len(store.entries), "leases": len(store.leases), "sessions": len(store.sessions.by_id),
             "oldest_change": store.history.oldest, "notes": recovery.notes}
+    if kept is not None:
+        told |= {"id": kept.id, "group": kept.group, "term": kept.term, "last": kept.log.last,
+                 "voters": list(kept.log.members().voters)}
     if json:
         return show({**told, **({"names": list(store.keys())} if keys else {})})
     for name, value in told.items():
@@ -254,9 +317,13 @@
 def state_backup(folder: Folder, to: Annotated[Path, typer.Option(help="The file to write; it must not exist.")],
                  json: Json = False) -> None:
     """Copy the state at one revision to one file, also while the keeper serves."""
+    from mastlift.consensus.kept import of_a_group
     from mastlift.durable.archive import backup
     from mastlift.store.machine import Store
 
+    if of_a_group(_folder(folder)):
+        fail(BAD_CALL, f"{folder} is a group member's: what of its log is committed only the group knows; "
+                       "the other members are its copies")
     if to.exists():
         fail(BAD_CALL, f"{to} exists already: name a new file")
     store = Store()
--- /dev/null
+++ b/mastlift/consensus/driver.py
@@ -0,0 +1,325 @@
+"""The driver of one member: does what the core says, the disk and the peers beside each other, and decides nothing.
+
+What must be durable first is held until the sync comes back; all else leaves at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import msgspec
+
+from mastlift.consensus import core as r
+from mastlift.consensus import kept
+from mastlift.consensus.messages import Append, Entry, Members, Message, Piece
+from mastlift.durable.commit import GroupCommit
+from mastlift.durable.disk import DiskFailed, DiskFull
+from mastlift.durable.journal import Journal
+from mastlift.durable.snapshot import SnapshotReader, snapshot_name
+from mastlift.logs import get_logger
+
+TICK_S = 0.01
+PIECE = 256 << 10  # bytes
+_ENCODE = msgspec.msgpack.Encoder().encode
+
+
+class Outdated(Exception):
+    """This member stopped leading before the command was committed: whether it holds is not known here."""
+
+
+class Transport(Protocol):
+    def send(self, to: str, message: Message) -> None:
+        """Without waiting; what can't be sent is dropped."""
+
+
+class Replica(Protocol):
+    """The state that commands are applied to."""
+
+    def apply(self, data: list[bytes]) -> list[Any]:
+        """In order; an empty one counts and does nothing. Their results."""
+
+    @property
+    def index(self) -> int: ...
+
+
+def _no_task() -> asyncio.Task[None] | None:
+    return None
+
+
+def now_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
+@dataclass(slots=True)
+class _Item:
+    """A record on its way to the disk, and where the log ended with it."""
+
+    record: kept.Record
+    last: int
+    last_term: int
+
+
+class Member:
+    """One member of a group. All methods belong to the event loop's thread."""
+
+    def __init__(self, journal: Journal, state: kept.Kept, replica: Replica, transport: Transport,
+                 failed: Callable[[DiskFailed], None], role: Callable[[r.RoleChanged], None],
+                 snapshot_now: Callable[[], None], timing: r.Timing | None = None) -> None:
+        """`role` hears of each change of role, `snapshot_now` that a snapshot must be taken (one was received)."""
+        self.state, self.replica, self._transport, self._role = state, replica, transport, role
+        self._snapshot_now = snapshot_now
+        self.core = r.Core(state.id, state.log, random.Random(), timing or r.Timing(), state.term, state.vote, now_ms())
+        self.log = get_logger("consensus")
+        self._commit: GroupCommit[_Item] = GroupCommit(
+            journal, lambda group: _ENCODE([item.record for item in group]), self._durable, self._full, failed)
+        self._submitted = self._finished = journal.last
+        self._held: list[tuple[int, r.Send]] = []
+        self._proposed: list[tuple[bytes, asyncio.Future[Any]]] = []
+        self._waiting: dict[int, tuple[int, asyncio.Future[Any]]] = {}
+        self._reads: dict[int, asyncio.Future[int]] = {}
+        self._read_after: list[tuple[int, asyncio.Future[None]]] = []
+        self._tokens = 0
+        self._incoming = bytearray()
+        self._arrived: r.StorePiece | None = None
+        self._blob: tuple[int, bytes] = (0, b"")
+        self._journal, self._loading = journal, _no_task()
+        self._newest = state.log.base, (journal.snapshots() or [0])[-1]
+        self._task = asyncio.create_task(self._tick())
+
+    # --- the keeper's side ---
+
+    @property
+    def leads(self) -> bool:
+        return self.core.role is r.Role.LEADER
+
+    @property
+    def records(self) -> int:
+        """How many records are on their way to the disk or there."""
+        return self._submitted
+
+    @property
+    def durable_records(self) -> int:
+        return self._finished
+
+    def waiting(self) -> tuple[int, int]:
+        return len(self._commit) + len(self._proposed), self._commit.waiting_bytes
+
+    def propose(self, data: bytes) -> asyncio.Future[Any]:
+        """The result of a command once it is committed and applied. Raises NotLeader, NotNow at once; the future
+        raises Outdated."""
+        if not self.leads:
+            raise r.NotLeader(self.core.leader)
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._proposed.append((data, future))
+        if len(self._proposed) == 1:
+            asyncio.get_running_loop().call_soon(self._flush)
+        return future
+
+    def _flush(self) -> None:
+        """What came in one turn of the loop goes into the log as one."""
+        proposed, self._proposed = self._proposed, []
+        if not proposed:
+            return
+        try:
+            first, actions = self.core.propose([data for data, _ in proposed], now_ms())
+        except (r.NotLeader, r.NotNow) as error:
+            for _, future in proposed:
+                if not future.done():
+                    future.set_exception(error)
+            return
+        for at, (_, future) in enumerate(proposed):
+            self._waiting[first + at] = self.core.term, future
+        self.do(actions)
+
+    async def read_barrier(self) -> None:
+        """Return once all that was acknowledged before this call is applied here. Raises NotLeader, Outdated."""
+        loop = asyncio.get_running_loop()
+        self._tokens += 1
+        future: asyncio.Future[int] = loop.create_future()
+        self._reads[self._tokens] = future
+        try:
+            self.do(self.core.read(self._tokens, now_ms()))
+        except r.NotLeader:
+            self._reads.pop(self._tokens, None)
+            raise
+        index = await future
+        if self.replica.index < index:
+            applied: asyncio.Future[None] = loop.create_future()
+            self._read_after.append((index, applied))
+            await applied
+
+    def change(self, change: Callable[[Members], Members]) -> None:
+        """Raises NotLeader, NotNow."""
+        wanted = change(self.core.members)
+        if wanted != self.core.members:
+            self.do(self.core.change(wanted, now_ms())[1])
+
+    def hand_over(self, to: str) -> None:
+        self.do(self.core.hand_over(to, now_ms()))
+
+    def dump(self) -> tuple[int, int, Iterator[bytes]]:
+        """For a snapshot: the record that it covers, the index of its state, and its blocks."""
+        return self._submitted, self.replica.index, kept.dump(
+            self.core.id, self.state.group, self.core.term, self.core.vote, self.core.log, self.state.store)
+
+    def snapshot_done(self, record: int, index: int) -> None:
+        """The snapshot of that record, with the state of that index, is durable."""
+        on_its_way = any(progress.snapshot and now_ms() - progress.heard < 10 * self.core.timing.election
+                         for progress in self.core.peers.values())
+        if not on_its_way:  # a member that takes one piece after the other must not begin anew each time
+            self.core.compacted(index)
+            self._newest, self._blob = (index, record), (0, b"")
+        if self._arrived is not None and index >= self._arrived.index:
+            piece, self._arrived = self._arrived, None
+            self.do(self.core.restored(piece.index, piece.term, piece.members))
+            self._apply()
+
+    def receive(self, source: str, message: Message) -> None:
+        if self._arrived is not None and isinstance(message, Append | Piece):
+            return
+        self.do(self.core.receive(source, message, now_ms()))
+
+    async def stop(self) -> None:
+        """Hand over if another voter is there to lead, then close the log."""
+        if self.leads and len(self.core.members.voters) > 1:
+            ready = [(progress.match, peer) for peer, progress in self.core.peers.items()
+                     if peer in self.core.members.voters and now_ms() - progress.heard < self.core.timing.election]
+            if ready:
+                with contextlib.suppress(r.NotLeader, r.NotNow):
+                    self.hand_over(max(ready)[1])
+                    for _ in range(40):
+                        if not self.leads:
+                            break
+                        await asyncio.sleep(0.01)
+        self._task.cancel()
+        await self._commit.stop()
+
+    # --- what the core says ---
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.do(self.core.tick(now_ms()))
+
+    def do(self, actions: list[r.Action]) -> None:
+        for action in actions:
+            match action:
+                case r.Save():
+                    self._submit(kept.Saved(action.term, action.vote), 64)
+                case r.Write():
+                    self._submit(kept.Written(action.first, action.entries),
+                                 sum(len(entry.data) + 16 for entry in action.entries))
+                case r.Send():
+                    if action.after_sync and self._finished < self._submitted:
+                        self._held.append((self._submitted, action))
+                    else:
+                        self._transport.send(action.to, action.message)
+                case r.Commit():
+                    self._apply()
+                case r.SendPiece():
+                    self._send_piece(action)
+                case r.StorePiece():
+                    self._store_piece(action)
+                case r.ReadReady():
+                    self._reads.pop(action.token).set_result(action.index)
+                case r.ReadLost():
+                    self._reads.pop(action.token).set_exception(Outdated("this member does not lead any more"))
+                case r.RoleChanged():
+                    self._changed(action)
+
+    def _submit(self, record: kept.Record, size: int) -> None:
+        self._submitted += 1
+        self._commit.submit(_Item(record, self.core.log.last, self.core.log.last_term), size)
+
+    def _durable(self, first: int, group: list[_Item]) -> None:
+        self._finished += len(group)
+        free = 0
+        while free < len(self._held) and self._held[free][0] <= self._finished:
+            free += 1
+        sends, self._held = self._held[:free], self._held[free:]
+        for _, send in sends:
+            self._transport.send(send.to, send.message)
+        self.do(self.core.synced(group[-1].last, group[-1].last_term))
+        self._apply()
+
+    def _full(self, group: list[_Item], error: DiskFull) -> bool:
+        """What the core has said can't be unsaid: tried again until there is room. Nothing is answered meanwhile."""
+        self.log.warning("disk_full", reason=str(error), records=len(group))
+        return True
+
+    def _apply(self) -> None:
+        """As far as it is committed and on this member's disk."""
+        core = self.core
+        until, index = min(core.commit, core.synced_to), self.replica.index
+        if until <= index:
+            return
+        entries: list[Entry] = core.log.entries[index - core.log.base:until - core.log.base]
+        results = self.replica.apply([entry.data for entry in entries])
+        for at, (entry, result) in enumerate(zip(entries, results, strict=True), index + 1):
+            term, future = self._waiting.pop(at, (0, None))
+            if future is not None and not future.done():
+                if term == entry.term:
+                    future.set_result(result)
+                else:
+                    future.set_exception(Outdated("another leader's command stands there"))
+        if self._read_after:
+            for wanted, applied in self._read_after:
+                if wanted <= until and not applied.done():
+                    applied.set_result(None)
+            self._read_after = [(wanted, applied) for wanted, applied in self._read_after if wanted > until]
+
+    def _changed(self, change: r.RoleChanged) -> None:
+        self.log.info("role", role=change.role.value, term=change.term, leader=change.leader, id=self.core.id)
+        if change.role is not r.Role.LEADER:
+            waiting, self._waiting = self._waiting, {}
+            for _, future in waiting.values():
+                if not future.done():
+                    future.set_exception(Outdated("this member does not lead any more"))
+        self._role(change)
+
+    # --- snapshots between members ---
+
+    def _send_piece(self, ask: r.SendPiece) -> None:
+        if self._blob[0] == ask.index:
+            data = self._blob[1][ask.offset:ask.offset + PIECE]
+            self.do(self.core.piece_read(ask.to, ask.index, ask.offset, data,
+                                         ask.offset + len(data) >= len(self._blob[1])))
+        elif self._loading is None or self._loading.done():
+            self._loading = asyncio.create_task(self._load_blob(ask))
+
+    async def _load_blob(self, ask: r.SendPiece) -> None:
+        """Read the newest snapshot's state back from the disk; the beats ask again until it is there."""
+        index, record = self._newest
+        if index == ask.index:
+            self._blob = index, await asyncio.to_thread(self._read_blob, record)
+            self._send_piece(ask)
+
+    def _read_blob(self, record: int) -> bytes:
+        reader = SnapshotReader(self._journal.disk, snapshot_name(record))
+        return b"".join(len(block).to_bytes(4, "big") + block for block in reader.blocks())
+
+    def _store_piece(self, piece: r.StorePiece) -> None:
+        if not piece.offset:
+            self._incoming = bytearray()
+        self._incoming += piece.data
+        if piece.last and self._arrived is None:
+            taken = kept.Kept(self.state.store)
+            taken.store.reset()
+            at = 0
+            while at < len(self._incoming):
+                size = int.from_bytes(self._incoming[at:at + 4], "big")
+                taken.load(bytes(self._incoming[at + 4:at + 4 + size]))
+                at += 4 + size
+            self._incoming = bytearray()
+            # In force on this disk only with a snapshot of our own that holds it: until it is durable a crash finds
+            # what was before, and no message of a leader is heard.
+            self.core.log.restart_from(piece.index, piece.term, piece.members)
+            self.core.commit, self.core.synced_to, self._arrived = piece.index, piece.index, piece
+            self.log.info("snapshot_received", index=piece.index)
+            self._snapshot_now()
--- a/mastlift/durable/commit.py
+++ b/mastlift/durable/commit.py
@@ -17,16 +17,18 @@
 
 T = TypeVar("T")
 GROUP_BYTES = 1 << 20
+AGAIN_S = 0.5
 MARK_AFTER_S = 0.01  # idle for so long: say durably that the last sync came back
 
 
 class GroupCommit(Generic[T]):
-    """`submit` items; `done` is told of them in order once they are durable, `full` of those that found no room.
+    """`submit` items; `done` is told of them in order once they are durable, `full` of those that found no room: it
+    says whether they are to be tried again, before all others.
 
     `failed` is told once that the disk has failed: nothing more is durable, and the process has to end."""
 
     def __init__(self, journal: Journal, encode: Callable[[list[T]], bytes], done: Callable[[int, list[T]], None],
-                 full: Callable[[list[T], DiskFull], None], failed: Callable[[DiskFailed], None],
+                 full: Callable[[list[T], DiskFull], bool], failed: Callable[[DiskFailed], None],
                  group_items: int = 1024) -> None:
         self.journal, self.group_items = journal, group_items
         self._encode, self._done, self._full, self._failed = encode, done, full, failed
@@ -82,7 +84,9 @@
                     try:
                         first = await written
                     except DiskFull as error:
-                        self._full(group, error)
+                        if self._full(group, error) and not self._stopping:
+                            await asyncio.sleep(AGAIN_S)
+                            continue
                     if first is not None:
                         durable = first, group
                     group = self._take()
--- /dev/null
+++ b/mastlift/duty/cli.py
@@ -0,0 +1,124 @@
+"""The commands on duties."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+from typing import Annotated, Any
+
+import typer
+from msgspec import json as mjson
+
+from mastlift.logs import LogForm, start_logging
+
+app = typer.Typer(help="Duties that only one process may hold at a time.", no_args_is_help=True)
+Keepers = Annotated[str, typer.Option("--keepers", envvar="MASTLIFT_KEEPERS", help="HOST:PORT, several by commas.")]
+Json = Annotated[bool, typer.Option("--json", help="One JSON object a line, for programs.")]
+DEFAULT_KEEPER = "127.0.0.1:7500"
+
+
+def _fail(code: int, text: str) -> typer.Exit:
+    typer.echo(f"mastlift: {text}", err=True)
+    return typer.Exit(code)
+
+
+def _with_client(keepers: str, work: Any, within: float = 10.0) -> Any:
+    from mastlift.keeper.client import KeeperClient, Refused, Unreachable
+    from mastlift.settings import BadSettings, address
+
+    async def run() -> Any:
+        names = [name.strip() for name in keepers.split(",")]
+        for name in names:
+            address(name, "--keepers")
+        async with KeeperClient(names, within) as client:
+            return await work(client)
+    try:
+        return asyncio.run(run())
+    except BadSettings as error:
+        raise _fail(2, str(error)) from None
+    except (Refused, Unreachable) as error:
+        raise _fail(1, str(error)) from None
+
+
+@app.command()
+def hold(name: str, command: Annotated[list[str], typer.Argument(help="-- COMMAND ARGS")],
+         ttl: Annotated[float, typer.Option(min=0.5, help="Seconds after which a crashed holder is succeeded.")] = 10.0,
+         grace: Annotated[float | None, typer.Option(min=0, help="Seconds from SIGTERM to SIGKILL, within the ttl; "
+                                                     "default a fourth of it, at most 5.")] = None,
+         candidate: Annotated[str, typer.Option("--as", help="The name in the line; default host and process.")] = "",
+         keepers: Keepers = DEFAULT_KEEPER) -> None:
+    """Wait in line for a duty and run COMMAND while it is held, with MASTLIFT_DUTY_TOKEN in its environment.
+
+    COMMAND's process group is ended before the duty could be another's; then the line is joined again. Ends with
+    COMMAND's exit code when it ends by itself, with 0 on SIGTERM."""
+    from mastlift.duty.command import hold as hold_
+    from mastlift.duty.holder import Duty
+
+    start_logging(LogForm.AUTO)
+    most = min(5.0, ttl / 4) if grace is None else grace
+    if most > ttl / 2:
+        raise _fail(2, f"--grace: {most:g} s is more than half of the ttl ({ttl:g} s): nothing would be left to act in")
+
+    async def work(client: Any) -> int:
+        ending, loop = asyncio.Event(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, ending.set)
+        duty = Duty(client, name, candidate or f"{socket.gethostname()}-{os.getpid()}", int(ttl * 1000))
+        try:
+            return await hold_(duty, command, ending, most * 1000)
+        except FileNotFoundError as error:
+            raise _fail(2, f"{command[0]}: {error.strerror}") from None
+
+    raise typer.Exit(_with_client(keepers, work, within=max(5.0, ttl)))
+
+
+@app.command()
+def ls(keepers: Keepers = DEFAULT_KEEPER, json: Json = False) -> None:
+    """Each duty with its holder, token and line."""
+    from mastlift.duty.holder import all_duties
+
+    duties = _with_client(keepers, all_duties)
+    for name, seen in duties.items():
+        if json:
+            typer.echo(mjson.encode({"duty": name, "holder": seen.holder, "token": seen.token,
+                                     "line": [one for _, one in seen.line]}).decode())
+        else:
+            typer.echo(f"{name:24}{seen.holder or '(nobody)':28}{seen.token:>10}  line: "
+                       f"{', '.join(one for _, one in seen.line) or '-'}")
+
+
+@app.command()
+def watch(name: str, keepers: Keepers = DEFAULT_KEEPER, count: int = 0) -> None:
+    """Print each change of holder; --count N ends after N lines."""
+    from mastlift.duty.holder import watch_duty
+
+    async def work(client: Any) -> None:
+        last, seen_lines = None, 0
+        async for seen in watch_duty(client, name):
+            if (seen.holder, seen.token) != last:
+                last, seen_lines = (seen.holder, seen.token), seen_lines + 1
+                typer.echo(f"{seen.token}\t{seen.holder or '(nobody)'}")
+                if seen_lines == count:
+                    return
+    _with_client(keepers, work)
+
+
+def _send(keepers: str, name: str, to: str) -> None:
+    from mastlift.duty.holder import send_to
+
+    if not _with_client(keepers, lambda client: send_to(client, name, to)):
+        raise _fail(1, f"{name}: it has no holder, or {to or 'nobody'} is not in its line")
+
+
+@app.command("give-up")
+def give_up(name: str, keepers: Keepers = DEFAULT_KEEPER) -> None:
+    """Have the holder leave for whoever is next in the line."""
+    _send(keepers, name, "")
+
+
+@app.command()
+def move(name: str, to: str, keepers: Keepers = DEFAULT_KEEPER) -> None:
+    """Have the holder leave for this candidate, which must be in the line."""
+    _send(keepers, name, to)
--- a/mastlift/keeper/client.py
+++ b/mastlift/keeper/client.py
@@ -20,7 +20,7 @@
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.05, 2.0
 AGAIN = frozenset({429, 502, 503, 504, 507})
 SILENT_S = 15.0  # a watch is told something every 5 s
-__all__ = ["KeeperClient", "Refused", "Unreachable", "entry_json", "value_of"]
+__all__ = ["KeeperClient", "Refused", "Unreachable", "ask_each", "entry_json", "value_of"]
 
 
 class Refused(Exception):
@@ -146,6 +146,10 @@
         body = msgspec.json.encode({"compare": compare, "then": then, "otherwise": otherwise or []})
         return await self._write("POST", "/v1/txn", body)
 
+    async def change_group(self, do: str, name: str) -> dict[str, Any]:
+        """`do` is add, remove or hand-over."""
+        return await self._call("POST", "/v1/group", msgspec.json.encode({"do": do, "name": name}))
+
     # --- leases ---
 
     async def grant(self, ttl_ms: int) -> int:
@@ -180,3 +184,17 @@
                         yield msgspec.json.decode(line)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise Unreachable(f"the watch at {self._keepers[0]} broke: {error or type(error).__name__}") from error
+
+
+async def ask_each(keepers: Sequence[str], path: str, within_s: float) -> dict[str, dict[str, Any]]:
+    """The same question to each; those that don't answer have an `error`."""
+    async def ask(http: aiohttp.ClientSession, keeper: str) -> dict[str, Any]:
+        try:
+            async with http.get(f"http://{keeper}{path}") as response:
+                told: dict[str, Any] = msgspec.json.decode(await response.read())
+                return told
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+            return {"error": str(error) or type(error).__name__}
+
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(within_s)) as http:
+        return dict(zip(keepers, await asyncio.gather(*(ask(http, keeper) for keeper in keepers)), strict=True))
--- a/mastlift/keeper/config.py
+++ b/mastlift/keeper/config.py
@@ -13,10 +13,13 @@
 Count = Annotated[int, Meta(ge=1)]
 
 
+Name = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
 class KeeperSection(Section, frozen=True):
     """Who it is and where: `data` is a folder that exists, its own."""
 
-    name: Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+    name: Name
     listen: str
     data: str
 
@@ -49,8 +52,17 @@
     format: Annotated[int, Meta(ge=OLDEST_FORMAT, le=FORMAT)] = FORMAT  # an older one keeps a way back open
 
 
+class GroupSection(Section, frozen=True):
+    """The group that this keeper belongs to: names and addresses of its members, itself among them. Its own address
+    here is where the others reach it; it may differ from where it listens."""
+
+    name: Name
+    members: dict[str, str]
+
+
 class Settings(Section, frozen=True):
     keeper: KeeperSection
+    group: GroupSection | None = None
     limits: Limits = Limits()
     snapshot: Snapshots = Snapshots()
     history: HistorySection = HistorySection()
--- a/mastlift/keeper/http.py
+++ b/mastlift/keeper/http.py
@@ -9,10 +9,15 @@
 from urllib.parse import unquote
 
 import msgspec
-from aiohttp import web
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+from yarl import URL
 
+from mastlift.consensus.core import NotLeader, NotNow
+from mastlift.consensus.driver import Outdated
 from mastlift.durable.disk import DiskFull
 from mastlift.keeper import wire
+from mastlift.keeper.grouped import Grouped, Refused
+from mastlift.keeper.peers import PATH, address_of
 from mastlift.keeper.service import Service, Stopping, TooMany
 from mastlift.keeper.wire import BadCall
 from mastlift.metrics import Metrics
@@ -20,6 +25,8 @@
 from mastlift.store.history import Change, Compacted
 
 SESSION, NUMBER, RECEIVED = "Mastlift-Session", "Mastlift-Command", "Mastlift-Received"
+FORWARDED = "Mastlift-Forwarded"
+FORWARD_S = 5.0
 PROGRESS_S = 5.0  # a watch with no changes is told the revision so often
 LINES_AT_ONCE = 500
 ENCODE = msgspec.json.Encoder().encode
@@ -46,6 +53,7 @@
         self.waits = metrics.waits("call", "How long calls took", "call")
         self.watches = metrics.gauge("watches", "Watches that are open")
         self.open_watches = 0
+        self._http: ClientSession | None = None
 
     def application(self) -> web.Application:
         limit = self.service.settings.limits.value_bytes
@@ -59,7 +67,8 @@
                 ("GET", "/v1/leases/{lease}", self.show_lease),
                 ("POST", "/v1/leases/{lease}/renew", self.renew), ("DELETE", "/v1/leases/{lease}", self.revoke),
                 ("GET", "/v1/changes", self.changes), ("GET", "/up", self.up), ("GET", "/metrics", self.show_metrics),
-                ("GET", "/v1/status", self.status)):
+                ("GET", "/v1/status", self.status), ("POST", PATH, self.peer), ("GET", "/v1/group", self.group_status),
+                ("POST", "/v1/group", self.change_group), ("POST", "/v1/group/hello", self.hello)):
             add(method, path, self._guarded(handler))
         return application
 
@@ -79,6 +88,12 @@
                 return self._refusal(507, "disk_full", str(error))
             except TooMany as error:
                 return self._refusal(429, "too_many_waiting", str(error), {"Retry_After": "1"})
+            except NotLeader as error:
+                return await self._forward(request, error.leader)
+            except Refused as error:
+                return self._refusal(409, "not_for_me", str(error))
+            except (NotNow, Outdated) as error:
+                return self._refusal(503, "not_now", str(error), {"Retry_After": "0.1"})
             except Stopping as error:
                 return self._refusal(503, "ending", str(error), {"Retry_After": "1"})
             finally:
@@ -90,6 +105,66 @@
         return answer(status, {"error": error, "message": message, "revision": self.store.revision, **more},
                       **(headers or {}))
 
+    async def _forward(self, request: web.Request, leader: str) -> web.Response:
+        """Have the leader answer; who gets a forwarded call does not forward it again."""
+        if leader and self._http is None:
+            self._http = ClientSession(timeout=ClientTimeout(FORWARD_S))
+        if leader and self._http is not None and FORWARDED not in request.headers:
+            headers = {name: request.headers[name] for name in (SESSION, NUMBER, RECEIVED) if name in request.headers}
+            url = URL(f"http://{address_of(leader)}{request.raw_path}", encoded=True)
+            with contextlib.suppress(ClientError, TimeoutError):
+                async with self._http.request(request.method, url, data=await request.read(),
+                                              headers={**headers, FORWARDED: "1"}) as response:
+                    kept = {name: value for name, value in response.headers.items()
+                            if name.startswith("Mastlift-") or name in ("Content-Type", "Retry-After")}
+                    return web.Response(status=response.status, body=await response.read(), headers=kept)
+        return self._refusal(503, "no_leader", f"the leader is {leader}" if leader else "there is no leader now",
+                             {"Retry_After": "0.2"}, leader=leader)
+
+    async def close(self) -> None:
+        if self._http is not None:
+            await self._http.close()
+
+    # --- the group ---
+
+    def _group(self) -> Grouped:
+        if self.service.grouped is None:
+            raise BadCall("group", "this keeper is alone: its settings name no [group]", 404)
+        return self.service.grouped
+
+    async def peer(self, request: web.Request) -> web.Response:
+        try:
+            self._group().receive(await request.read())
+        except msgspec.DecodeError as error:
+            raise BadCall("body", str(error)) from error
+        return web.Response()
+
+    async def group_status(self, request: web.Request) -> web.Response:
+        return answer(200, {"revision": self.store.revision, **self._group().status()})
+
+    async def hello(self, request: web.Request) -> web.Response:
+        call = wire.decode(await request.read(), wire.HelloCall)
+        self._group().hello(call.group, call.id)
+        return answer(200, {"revision": self.store.revision})
+
+    async def change_group(self, request: web.Request) -> web.Response:
+        call, group = wire.decode(await request.read(), wire.GroupCall), self._group()
+        if not group.leads:
+            raise NotLeader(group.member.core.leader)
+        removed, admit = f"mastlift/removed/{call.name}", f"mastlift/admit/{call.name}"
+        try:
+            match call.do:
+                case "add":
+                    await self.service.propose(c.Envelope(c.Txn((), (c.Put(admit, b""), c.Delete(removed)))), 64)
+                case "remove":
+                    await self.service.propose(c.Envelope(c.Txn((), (c.Put(removed, b""), c.Delete(admit)))), 64)
+                    group.remove(call.name)
+                case "hand-over":
+                    group.hand_over(call.name)
+        except KeyError:
+            raise BadCall("name", f"there is no member '{call.name}'", 404) from None
+        return answer(200, {"revision": self.store.revision, **group.status()})
+
     # --- reading the call ---
 
     def _key(self, request: web.Request) -> str:
--- /dev/null
+++ b/mastlift/keeper/peers.py
@@ -0,0 +1,103 @@
+"""How members reach each other: batches of messages over HTTP, one at a time to each peer. What can't be sent is
+dropped; the core says it again."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import deque
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from mastlift.consensus.messages import Message
+from mastlift.logs import get_logger
+
+PEER_FORMAT = 1
+PATH = "/peer"
+FROM = "Mastlift-From"  # for whoever looks at connections from outside; the body says the same
+MOST_QUEUED = 256
+SILENT_S = 1.0
+PAUSE_S = 0.05
+
+
+class Batch(msgspec.Struct, frozen=True, array_like=True):
+    """What one member says to another at once."""
+
+    format: int
+    group: str
+    source: str
+    to: str
+    messages: list[Message]
+
+
+ENCODE = msgspec.msgpack.Encoder().encode
+DECODE = msgspec.msgpack.Decoder(Batch).decode
+
+
+def name_of(id_: str) -> str:
+    return id_.partition(".")[0]
+
+
+def address_of(id_: str) -> str:
+    """Where a member with this id (NAME.LIFE@HOST:PORT) is called."""
+    return id_.partition("@")[2]
+
+
+@dataclass(slots=True)
+class _Peer:
+    queue: deque[Message]
+    wake: asyncio.Event
+    task: asyncio.Task[None]
+
+
+class Peers:
+    """The transport of one member."""
+
+    def __init__(self, own: str, group: str) -> None:
+        self.own, self.group = own, group
+        self._peers: dict[str, _Peer] = {}
+        self._http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0),
+                                           timeout=aiohttp.ClientTimeout(SILENT_S), headers={FROM: own})
+        self._log = get_logger("peers")
+
+    def send(self, to: str, message: Message) -> None:
+        peer = self._peers.get(to)
+        if peer is None:
+            queue: deque[Message] = deque(maxlen=MOST_QUEUED)
+            wake = asyncio.Event()
+            peer = self._peers[to] = _Peer(queue, wake, asyncio.create_task(self._sender(to, queue, wake)))
+        peer.queue.append(message)
+        peer.wake.set()
+
+    async def _sender(self, to: str, queue: deque[Message], wake: asyncio.Event) -> None:
+        url, refused = f"http://{address_of(to)}{PATH}", False
+        while True:
+            await wake.wait()
+            wake.clear()
+            batch = list(queue)
+            queue.clear()
+            if not batch:
+                continue
+            try:
+                async with self._http.post(url, data=ENCODE(Batch(PEER_FORMAT, self.group, self.own, to, batch)),
+                                           ) as response:
+                    if response.status != 200 and not refused:
+                        self._log.error("peer_refused", peer=to, status=response.status,
+                                        reason=(await response.text()).strip())
+                    refused = response.status != 200
+            except (aiohttp.ClientError, TimeoutError):
+                await asyncio.sleep(PAUSE_S)
+
+    def forget(self, ids: set[str]) -> None:
+        """Those that are no members any more."""
+        for gone in self._peers.keys() & ids:
+            self._peers.pop(gone).task.cancel()
+
+    async def close(self) -> None:
+        for peer in self._peers.values():
+            peer.task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await peer.task
+        await self._http.close()
--- a/mastlift/keeper/process.py
+++ b/mastlift/keeper/process.py
@@ -17,7 +17,9 @@
 from mastlift import settings as settings_
 from mastlift.durable.disk import Disk, DiskFailed, RealDisk
 from mastlift.durable.frames import LIFE_SIZE
+from mastlift.durable.journal import Layout, never_used
 from mastlift.keeper.config import Settings
+from mastlift.keeper.grouped import Refused, must_be_new
 from mastlift.keeper.http import Calls
 from mastlift.keeper.service import Service
 from mastlift.logs import get_logger
@@ -53,19 +55,25 @@
     os._exit(DAMAGE)
 
 
-async def _serve(settings: Settings, disk: Disk, started: float) -> None:
+async def _serve(settings: Settings, disk: Disk, started: float, new_group: bool) -> None:
     host, port = settings_.address(settings.keeper.listen, "keeper.listen")
     log, metrics, loop = get_logger("keeper"), Metrics(), asyncio.get_running_loop()
     ending = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ending.set)
-    service = Service(settings, disk, metrics, lambda: os.urandom(LIFE_SIZE), _end_now)
+    if new_group and settings.group and never_used(disk, Layout.of(disk)):
+        try:
+            await must_be_new(settings.group, settings.keeper.name)
+        except Refused as error:
+            raise BadSettings(str(error)) from error
+    service = Service(settings, disk, metrics, lambda: os.urandom(LIFE_SIZE), _end_now, new_group)
     gc.collect()
     gc.freeze()  # what was recovered lives on: looking through it again and again is a pause for every caller
     for note in service.recovery.notes:
         log.warning("recovery", note=note)
     await service.start()
-    runner = web.AppRunner(Calls(service, metrics).application(), access_log=None, shutdown_timeout=END_S,
+    calls = Calls(service, metrics)
+    runner = web.AppRunner(calls.application(), access_log=None, shutdown_timeout=END_S,
                            handler_cancellation=False)
     await runner.setup()
     site = web.TCPSite(runner, host, port, backlog=1024)
@@ -86,13 +94,27 @@
     await site.stop()
     await service.stop()
     await runner.cleanup()
+    await calls.close()
     log.info("ended", revision=service.store.revision, index=service.store.index)
 
 
-def run(settings: Settings, base: Path, wrap: Callable[[Disk], Disk] = lambda disk: disk) -> None:
+def _check_group(settings: Settings) -> None:
+    """Raises BadSettings."""
+    if settings.group is None:
+        return
+    for name, where in settings.group.members.items():
+        settings_.address(where, f"group.members.{name}")
+    if settings.keeper.name not in settings.group.members:
+        raise BadSettings(f"group.members: {settings.keeper.name} itself is missing; known: "
+                          f"{', '.join(settings.group.members)}")
+
+
+def run(settings: Settings, base: Path, wrap: Callable[[Disk], Disk] = lambda disk: disk,
+        new_group: bool = False) -> None:
     """Serve until SIGTERM. `base` is what a relative data folder is relative to; `wrap` puts a faulty disk before the
     real one. Raises BadSettings, Busy, and what `open_journal` raises."""
     started = time.monotonic()
     sys.setswitchinterval(SWITCH_S)
     settings_.address(settings.keeper.listen, "keeper.listen")
-    uvloop.run(_serve(settings, wrap(open_folder(settings, base)), started))
+    _check_group(settings)
+    uvloop.run(_serve(settings, wrap(open_folder(settings, base)), started, new_group))
--- a/mastlift/keeper/service.py
+++ b/mastlift/keeper/service.py
@@ -6,12 +6,16 @@
 import contextlib
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
 
+from mastlift.consensus.core import NotLeader, NotNow
+from mastlift.consensus.driver import Outdated
+from mastlift.consensus.kept import Kept
 from mastlift.durable.disk import Disk, DiskFailed, DiskFull
-from mastlift.durable.journal import Journal, Recovery, open_journal
+from mastlift.durable.journal import Journal, Recovery, WrongFolder, open_journal
 from mastlift.keeper.config import Settings
+from mastlift.keeper.grouped import Grouped, begin
 from mastlift.keeper.order import Alone, Order
 from mastlift.logs import get_logger
 from mastlift.metrics import Metrics
@@ -42,15 +46,22 @@
     """One keeper's state. All methods belong to the event loop's thread."""
 
     def __init__(self, settings: Settings, disk: Disk, metrics: Metrics, new_life: Callable[[], bytes],
-                 failed: Callable[[DiskFailed], None]) -> None:
-        """Recover from the disk. Raises what `open_journal` raises."""
+                 failed: Callable[[DiskFailed], None], new_group: bool = False) -> None:
+        """Recover from the disk. `new_group`: an empty folder is one of those that a group begins with. Raises what
+        `open_journal` raises, WrongFolder for a folder of another group."""
         self.settings, self._disk, self._failed = settings, disk, failed
         self.store = Store(History(settings.history.changes, settings.history.mb * MB))
         self.journal: Journal
         self.recovery: Recovery
+        self.kept = Kept(self.store) if settings.group else None
         self.journal, self.recovery = open_journal(
-            disk, settings.keeper.name, self.store, new_life, version=settings.log.format,
+            disk, settings.keeper.name, self.kept or self.store, new_life, version=settings.log.format,
             segment_bytes=settings.log.segment_mb * MB)
+        if settings.group and self.kept is not None:
+            if not self.kept.id:
+                begin(self.journal, self.kept, settings.group, settings.keeper.name, new_group)
+            if self.kept.group != settings.group.name:
+                raise WrongFolder(f"the folder belongs to the group '{self.kept.group}', not '{settings.group.name}'")
         self.log = get_logger("keeper")
         self.stopping = False
         self.order: Order | None = None
@@ -60,7 +71,8 @@
         self._snapshot_index, self._covered_bytes, self._no_snapshot_before = self.recovery.snapshot, 0, 0.0
         self._snapshot_bytes = self.recovery.bytes_read - self.recovery.log_bytes
         self._snapshot_thread = ThreadPoolExecutor(1, "snapshot")
-        self._room = True
+        self._room, self._snapshot_wanted = True, False
+        self.grouped: Grouped | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._make_metrics(metrics)
 
@@ -86,11 +98,20 @@
             metrics.gauge(name, text).set_function(read)
 
     async def start(self) -> None:
-        self.order = Alone(self.journal, self._apply, self._failed)
-        self._clock = LeaseClock(now_ms(), ((lease, one.ttl_ms, one.renewals)
-                                            for lease, one in self.store.leases.items()))
+        if self.settings.group and self.kept is not None:
+            self.order = self.grouped = Grouped(self.journal, self.kept, self.settings.group, self._apply, self._failed,
+                                                self._role, self._snapshot_now)
+        else:
+            self.order = Alone(self.journal, self.store, self._apply, self._failed)
+        self._role(True)
         self._tasks = [asyncio.create_task(self._keep_time())]
 
+    def _role(self, leads: bool) -> None:
+        """Who begins to keep the time gives each lease its full time again."""
+        if leads:
+            self._clock = LeaseClock(now_ms(), ((lease, one.ttl_ms, one.renewals)
+                                                for lease, one in self.store.leases.items()))
+
     async def stop(self) -> None:
         """Make durable what was taken, and let go of the disk."""
         self.stopping = True
@@ -125,15 +146,20 @@
             self.refused.labels("disk full").inc()
             raise
 
-    def _apply(self, envelopes: list[c.Envelope]) -> list[c.Result]:
-        before, results, now = self.store.revision, [], now_ms()
+    def _apply(self, envelopes: Sequence[c.Envelope | None]) -> list[c.Result | None]:
+        results: list[c.Result | None] = []
+        before, now = self.store.revision, now_ms()
         for envelope in envelopes:
+            if envelope is None:
+                self.store.index += 1
+                results.append(None)
+                continue
             result = self.store.apply(envelope)
             results.append(result)
             command = envelope.command
             if isinstance(command, c.Grant | c.Renew | c.Revoke):
                 self._follow_lease(command, result, now)
-        for outcome, count in Counter(result.outcome for result in results).items():
+        for outcome, count in Counter(result.outcome for result in results if result).items():
             self.outcomes[outcome].inc(count)
         self.group_sizes.inc()
         if self.store.revision != before:
@@ -158,10 +184,12 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._look_at_room()
+            if self.order is None or not self.order.leads:
+                continue
             for revoke in self._clock.tick(now_ms()):
                 try:
                     result = await self.propose(c.Envelope(revoke), 32)
-                except (TooMany, DiskFull, Stopping):
+                except (TooMany, DiskFull, Stopping, NotLeader, NotNow, Outdated):
                     break
                 if result.outcome is c.Outcome.OK:
                     self.ended.inc()
@@ -197,30 +225,40 @@
     def snapshotting(self) -> bool:
         return self._snapshot is not None
 
+    def _snapshot_now(self) -> None:
+        """One is needed, whatever the settings say: as soon as one that is under way is done."""
+        self._snapshot_wanted = True
+        self._maybe_snapshot()
+
     def _maybe_snapshot(self) -> None:
-        limits = self.settings.snapshot
+        limits, order = self.settings.snapshot, self.order
+        if order is None or self._snapshot is not None or self.stopping:
+            return
         log_bytes = self.journal.log_bytes - self._covered_bytes
-        due = (self.store.index - self._snapshot_index >= limits.entries or log_bytes >= limits.mb * MB)
+        due = (order.position() - self._snapshot_index >= limits.entries or log_bytes >= limits.mb * MB)
         due = due and log_bytes >= self._snapshot_bytes  # else a large state would be written over and over
-        if due and self._snapshot is None and not self.stopping and time.monotonic() >= self._no_snapshot_before:
+        if self._snapshot_wanted or (due and time.monotonic() >= self._no_snapshot_before):
             started = time.monotonic()
-            blocks = self.store.dump()
+            position, index, blocks = order.snapshot()
+            self._snapshot_wanted = False
             self.copies.observe(time.monotonic() - started)
-            self._snapshot = asyncio.create_task(self._take_snapshot(self.store.index, blocks))
+            self._snapshot = asyncio.create_task(self._take_snapshot(order, position, index, blocks))
 
-    async def _take_snapshot(self, index: int, blocks: Iterator[bytes]) -> None:
+    async def _take_snapshot(self, order: Order, position: int, index: int, blocks: Iterator[bytes]) -> None:
         """Write the copy in slices, in a thread of its own, so that writes go on beside it."""
         loop, started, size = asyncio.get_running_loop(), time.monotonic(), 0
         writer, covered = None, self.journal.log_bytes
         try:
-            writer = await loop.run_in_executor(self._snapshot_thread, self.journal.snapshot_writer, index)
+            writer = await loop.run_in_executor(self._snapshot_thread, self.journal.snapshot_writer, position)
             for block in blocks:
                 await loop.run_in_executor(self._snapshot_thread, writer.write, block)
                 size += len(block)
+            await order.wait_durable(position)
             await loop.run_in_executor(self._snapshot_thread, writer.finish)
-            await loop.run_in_executor(self._snapshot_thread, self.journal.snapshot_done, index)
-            self._snapshot_index, self._snapshot_bytes = index, size
+            await loop.run_in_executor(self._snapshot_thread, self.journal.snapshot_done, position)
+            self._snapshot_index, self._snapshot_bytes = position, size
             self._covered_bytes = covered
+            order.snapshot_done(position, index)
             self.snapshots.observe(time.monotonic() - started)
             self.log.info("snapshot", index=index, bytes=size, seconds=round(time.monotonic() - started, 4))
         except DiskFull as error:
@@ -232,3 +270,5 @@
             self._failed(error)
         finally:
             self._snapshot = None
+        if self._snapshot_wanted:
+            self._maybe_snapshot()
--- a/mastlift/keeper/wire.py
+++ b/mastlift/keeper/wire.py
@@ -7,7 +7,7 @@
 
 import base64
 import binascii
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -78,6 +78,16 @@
     ttl_ms: Annotated[int, msgspec.Meta(ge=100, le=c.LONGEST_TTL_MS)]
 
 
+class HelloCall(_Call, frozen=True):
+    group: str
+    id: str
+
+
+class GroupCall(_Call, frozen=True):
+    do: Literal["add", "remove", "hand-over"]
+    name: str
+
+
 def decode(body: bytes, form: type[Any]) -> Any:
     """Raises BadCall naming the field."""
     try:
--- a/mastlift/lab/benches/durable.py
+++ b/mastlift/lab/benches/durable.py
@@ -90,7 +90,7 @@
     def failed(error: DiskFailed) -> None:
         raise error
 
-    def full(group: list[tuple[c.Envelope, asyncio.Future[None]]], error: DiskFull) -> None:
+    def full(group: list[tuple[c.Envelope, asyncio.Future[None]]], error: DiskFull) -> bool:
         raise error
 
     commit: GroupCommit[tuple[c.Envelope, asyncio.Future[None]]] = GroupCommit(
--- a/mastlift/lab/cli.py
+++ b/mastlift/lab/cli.py
@@ -116,6 +116,37 @@
     _finish(told, json, broken)
 
 
+@app.command()
+def chaos(seconds: Annotated[float, typer.Option(min=1)] = 60.0, members: Annotated[int, typer.Option()] = 5,
+          writers: Annotated[int, typer.Option(min=1)] = 4, seed: Seed = 0, json: Json = False) -> None:
+    """A group of keepers as processes under random faults and writers; then the store against their ledgers."""
+    from mastlift.lab.chaos import chaos_run
+
+    if members not in (3, 5):
+        typer.echo("mastlift: --members: 3 or 5", err=True)
+        raise typer.Exit(2)
+    with tempfile.TemporaryDirectory() as folder:
+        verdict, done = asyncio.run(chaos_run(Path(folder), seconds, members, writers, seed))
+    _finish({"members": members, "writers": writers, "acknowledged": verdict.acknowledged,
+             **{f"faults_{kind}": count for kind, count in sorted(done.items())}}, json, verdict.broken)
+
+
+@app.command()
+def duties(seconds: Annotated[float, typer.Option(min=1)] = 60.0, holders: Annotated[int, typer.Option(min=1)] = 20,
+           duties: Annotated[int, typer.Option(min=1)] = 5, seed: Seed = 0, json: Json = False) -> None:
+    """Holders of duties as processes, three keepers, random faults of both, and a resource that records who acted."""
+    from mastlift.lab.duties import duties_run
+
+    with tempfile.TemporaryDirectory() as folder:
+        outcome = asyncio.run(duties_run(Path(folder), seconds, duties, holders, seed))
+    gaps = outcome.gaps_ms
+    _finish({"acted": outcome.acted, "holders_in_turn": outcome.takeovers, "late_and_refused": outcome.refused,
+             **{f"without_holder_ms_p{p}": round(gaps[min(len(gaps) - 1, len(gaps) * p // 100)])
+                for p in (50, 90, 99) if gaps},
+             **{f"faults_{kind.replace(' ', '_')}": count for kind, count in sorted(outcome.faults.items())}},
+            json, outcome.broken)
+
+
 @app.command("try")
 def try_() -> None:
     """A proxy, two stand-in backends and a keeper that is killed and started again; ends by itself."""
--- /dev/null
+++ b/mastlift/lab/duties.py
@@ -0,0 +1,168 @@
+"""Holders as processes under faults of holders and keepers, and a stand-in resource outside that records who acted with
+which token. A resource takes no token below the highest it has seen; what is late is turned away and counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from itertools import pairwise
+from pathlib import Path
+
+from mastlift.lab.chaos import ChaosGroup, one_fault, running
+from mastlift.lab.processes import Child, started
+
+START_S = 30.0
+ACTOR = """
+import os, socket, sys, time
+s = socket.create_connection((sys.argv[1], int(sys.argv[2])))
+while True:
+    s.sendall(b"%s %s %d\\n" % (sys.argv[3].encode(), os.environ["MASTLIFT_DUTY_TOKEN"].encode(), time.monotonic_ns()))
+    time.sleep(0.02)
+"""
+
+
+@dataclass(slots=True)
+class Resource:
+    """What holders act on. Times are of the machine's one monotonic clock, as the actors read it."""
+
+    highest: dict[str, int] = field(default_factory=dict)
+    first: dict[tuple[str, int], int] = field(default_factory=dict)
+    last: dict[tuple[str, int], int] = field(default_factory=dict)
+    refused: Counter[str] = field(default_factory=Counter)
+    acted: int = 0
+    address: tuple[str, int] = ("", 0)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError):
+            while line := await reader.readline():
+                if line.endswith(b"\n"):
+                    duty, token, at = line.decode().split()
+                    self.act(duty, int(token), int(at))
+        writer.close()
+
+    def act(self, duty: str, token: int, at: int) -> None:
+        if token < self.highest.get(duty, 0):
+            self.refused[duty] += 1
+            return
+        self.highest[duty] = token
+        self.acted += 1
+        self.first.setdefault((duty, token), at)
+        self.last[duty, token] = at
+
+    def gaps_ms(self) -> list[float]:
+        """Time without an action between one holder and the next."""
+        gaps: list[float] = []
+        for duty in self.highest:
+            tokens = sorted(token for name, token in self.first if name == duty)
+            gaps += [(self.first[duty, b] - self.last[duty, a]) / 1e6
+                     for a, b in pairwise(tokens)]
+        return gaps
+
+
+@contextlib.asynccontextmanager
+async def resource() -> AsyncIterator[Resource]:
+    one = Resource()
+    server = await asyncio.start_server(one._serve, "127.0.0.1", 0)
+    one.address = server.sockets[0].getsockname()[:2]
+    try:
+        yield one
+    finally:
+        server.close()
+
+
+@contextlib.asynccontextmanager
+async def holder(group: ChaosGroup, res: Resource, duty: str, name: str, ttl_s: float = 1.5) -> AsyncIterator[Child]:
+    """`mastlift duty hold` with an actor as its command."""
+    host, port = res.address
+    async with started("-m", "mastlift", "duty", "hold", duty, "--as", name, "--ttl", str(ttl_s), "--keepers",
+                       ",".join(group.keepers), "--", sys.executable, "-S", "-c", ACTOR, host, str(port),
+                       duty) as child:
+        yield child
+
+
+@dataclass(slots=True)
+class Outcome:
+    """`overlaps` are holders that acted, in true time, after a later one had begun, without a pause of the holder that
+    explains it (those the resource turns away)."""
+
+    acted: int = 0
+    takeovers: int = 0
+    refused: int = 0
+    faults: Counter[str] = field(default_factory=Counter)
+    gaps_ms: list[float] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+
+
+def command_pid(child: Child) -> int:
+    """The process of the command that a holder runs now; 0 for none."""
+    started_ = [event for event in child.events if event.get("event") in ("command_started", "command_ended")]
+    return int(started_[-1]["pid"]) if started_ and started_[-1]["event"] == "command_started" else 0
+
+
+async def duties_run(folder: Path, seconds: float, duties: int, holders: int, seed: int) -> Outcome:
+    """Random faults of keepers and holders for so long, then healing: each duty must have a holder that acts."""
+    rng, outcome = random.Random(seed), Outcome()
+    paused: set[str] = set()
+    async with running(folder, "abc") as group, resource() as res, contextlib.AsyncExitStack() as stack:
+        places: dict[str, tuple[str, contextlib.AsyncExitStack, Child]] = {}
+
+        async def put(name: str, duty: str) -> None:
+            own = contextlib.AsyncExitStack()
+            child = await own.enter_async_context(holder(group, res, duty, name))
+            places[name] = duty, own, child
+
+        async def end_all() -> None:
+            for _, own, _ in places.values():
+                await own.aclose()
+
+        stack.push_async_callback(end_all)
+        await asyncio.gather(*(put(f"h{i}", f"d{i % duties}") for i in range(holders)))
+        async with asyncio.timeout(START_S):
+            while len(res.highest) < duties:
+                await asyncio.sleep(0.05)
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if rng.random() < 0.4:
+                outcome.faults[f"keeper {await one_fault(group, rng, 3)}"] += 1
+                continue
+            name = rng.choice(sorted(places))
+            duty, own, child = places[name]
+            kind = rng.choice(("kill", "term", "stop"))
+            outcome.faults[f"holder {kind}"] += 1
+            if kind == "stop":  # the whole machine stands still: the holder and its command
+                pids = [child.process.pid, *([command_pid(child)] if command_pid(child) else [])]
+                paused.add(duty)
+                for pid in pids:
+                    with contextlib.suppress(ProcessLookupError):
+                        os.kill(pid, signal.SIGSTOP)
+                await asyncio.sleep(rng.uniform(0.2, 3.0))
+                for pid in reversed(pids):  # the command wakes first, and acts
+                    with contextlib.suppress(ProcessLookupError):
+                        os.kill(pid, signal.SIGCONT)
+            else:
+                await child.end(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+                await own.aclose()
+                await put(name, duty)
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+        group.heal()
+        before = dict(res.last)
+        await asyncio.sleep(4.0)
+        for duty in res.highest:
+            if not any(at > before.get((name, token), 0) for (name, token), at in res.last.items() if name == duty):
+                outcome.broken.append(f"{duty} has no holder that acts after all has healed")
+    for duty, count in res.refused.items():
+        if duty not in paused:
+            outcome.broken.append(f"{duty}: {count} actions were late though no holder of it was paused")
+    outcome.acted, outcome.takeovers, outcome.refused = res.acted, len(res.first), res.refused.total()
+    outcome.gaps_ms = sorted(res.gaps_ms())
+    outcome.broken += [f"holders overlap by {-gap:.0f} ms" for gap in outcome.gaps_ms if gap < 0 and not paused]
+    return outcome
--- a/mastlift/lab/kill.py
+++ b/mastlift/lab/kill.py
@@ -75,8 +75,9 @@
                 await stack.enter_async_context(started(
                     "-m", "mastlift", "lab", "writer", "--keepers", listen, "--name", f"w{i}",
                     "--ledger", str(ledger), "--seed", str(seed + i)))
-            while not all(ledger.exists() and "ok" in ledger.read_text() for ledger in ledgers):
-                await asyncio.sleep(0.05)
+            async with asyncio.timeout(60.0):
+                while not all(ledger.exists() and "ok" in ledger.read_text() for ledger in ledgers):
+                    await asyncio.sleep(0.05)
             await first.end(signal.SIGKILL)
         for _ in range(kills - 1):
             began = time.monotonic()
@@ -92,7 +93,7 @@
         verdict.kills += 1
         async with keeper(config) as last:
             await asyncio.sleep(0.5)
-            await compare(listen, ledgers, verdict)
+            await compare([listen], ledgers, verdict)
             if code := await last.end():
                 verdict.broken.append(f"SIGTERM ended the keeper with {code}")
         verdict.served, verdict.asked = client.served()
@@ -103,10 +104,10 @@
     return verdict
 
 
-async def compare(listen: str, ledgers: list[Path], verdict: Verdict) -> None:
+async def compare(keepers: list[str], ledgers: list[Path], verdict: Verdict) -> None:
     """Hold the store against what the writers were told."""
     told_before = [ledger.read_text().splitlines() for ledger in ledgers]  # older than what is read next
-    async with KeeperClient([listen], deadline_s=30.0) as client:
+    async with KeeperClient(keepers, deadline_s=30.0) as client:
         found = {entry["key"]: entry for entry in (await client.ls())["entries"]}
     revisions: dict[int, str] = {}
     newest: dict[str, tuple[int, str]] = {}
--- a/mastlift/lab/processes.py
+++ b/mastlift/lab/processes.py
@@ -95,10 +95,13 @@
         await child.end(signal.SIGKILL)
 
 
-def keeper_settings(folder: Path, listen: str, name: str = "a", **tables: dict[str, int]) -> Path:
-    """A settings file and a data folder for one keeper below `folder`."""
+def keeper_settings(folder: Path, listen: str, name: str = "a", group: dict[str, str] | None = None,
+                    **tables: dict[str, int]) -> Path:
+    """A settings file and a data folder for one keeper below `folder`; `group` has names and addresses of members."""
     (folder / "data").mkdir(parents=True, exist_ok=True)
     lines = ["[keeper]", f'name = "{name}"', f'listen = "{listen}"', 'data = "data"']
+    if group:
+        lines += ["[group]", 'name = "g"', "[group.members]", *(f'{one} = "{where}"' for one, where in group.items())]
     for table, values in tables.items():
         lines += [f"[{table}]", *(f"{key} = {value}" for key, value in values.items())]
     path = folder / "keeper.toml"
@@ -107,10 +110,10 @@
 
 
 @contextlib.asynccontextmanager
-async def keeper(config: Path, faults: Path | None = None) -> AsyncIterator[Child]:
+async def keeper(config: Path, faults: Path | None = None, *more: str) -> AsyncIterator[Child]:
     """A keeper that is ready; with `faults`, on a disk that fails as `mastlift.lab.faulty` is told there."""
     arguments = ["-m", "mastlift", "lab", "keeper", "--faults", str(faults)] if faults else [
         "-m", "mastlift", "keeper", "run", "--log", "json"]
-    async with started(*arguments, "--config", str(config)) as child:
+    async with started(*arguments, *more, "--config", str(config)) as child:
         await child.event("ready")
         yield child
--- /dev/null
+++ b/mastlift/lab/relay.py
@@ -0,0 +1,78 @@
+"""A relay before a process: cuts, one way too, and delays, by who connects. It tells peers by the head they send."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from mastlift.keeper.peers import FROM
+
+CLIENTS = "clients"
+
+
+class Relay:
+    """`deaf_to` names the sources whose bytes go nowhere, `mute_to` those who get no answers; connections stay open.
+    `delay_s` is what each piece waits, either way."""
+
+    def __init__(self, target: str) -> None:
+        self.target, self.address = target, ""
+        self.deaf_to: set[str] = set()
+        self.mute_to: set[str] = set()
+        self.delay_s = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        there: asyncio.StreamWriter | None = None
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            source = CLIENTS
+            for line in head.split(b"\r\n"):
+                name, _, value = line.partition(b":")
+                if name.lower() == FROM.lower().encode():
+                    source = value.strip().decode().partition(".")[0]
+            host, _, port = self.target.rpartition(":")
+            back, there = await asyncio.open_connection(host, int(port))
+            if source not in self.deaf_to:
+                there.write(head)
+            await asyncio.gather(self._pump(reader, there, self.deaf_to, source),
+                                 self._pump(back, writer, self.mute_to, source))
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            for end in (writer, there):
+                if end is not None:
+                    end.close()
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut: set[str],
+                    source: str) -> None:
+        while data := await reader.read(1 << 16):
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            if source not in cut:
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+    async def close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def relay(target: str, address: str) -> AsyncIterator[Relay]:
+    """A relay that listens at `address` and goes on to `target`."""
+    host, _, port = address.rpartition(":")
+    one = Relay(target)
+    server = await asyncio.start_server(one._serve, host, int(port), limit=1 << 20)
+    one.address = address
+    try:
+        yield one
+    finally:
+        server.close()
+        await one.close()
--- /dev/null
+++ b/tests/test_group.py
@@ -0,0 +1,231 @@
+"""A group of keepers and holders of duties as processes, with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import aiohttp
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mastlift.duty.clock import HolderClock, Holding
+from mastlift.duty.holder import Duty, all_duties, while_held
+from mastlift.keeper.client import KeeperClient, Refused
+from mastlift.lab.chaos import chaos_run, running
+from mastlift.lab.duties import command_pid, duties_run, holder, resource
+from mastlift.lab.processes import free_address, keeper, keeper_settings
+from mastlift.store.leases import LeaseClock
+from tests.test_keeper import mastlift
+
+
+def run(test: Callable[[], Awaitable[None]], limit_s: float = 120.0) -> None:
+    async def limited() -> None:
+        await asyncio.wait_for(test(), limit_s)
+    asyncio.run(limited())
+
+
+def test_a_group_under_random_faults_keeps_what_it_acknowledged(tmp_path: Path) -> None:
+    """Short form of `lab chaos`."""
+    async def test() -> None:
+        verdict, done = await chaos_run(tmp_path, 15.0, members=3, writers=4, seed=11)
+        assert not verdict.broken, (verdict.broken, done)
+        assert verdict.acknowledged > 100 and done.total() > 5
+    run(test)
+
+
+def test_duties_under_random_faults_are_never_acted_on_twice(tmp_path: Path) -> None:
+    """Short form of `lab duties`: what comes late is turned away, and afterwards each duty has a holder that acts."""
+    async def test() -> None:
+        outcome = await duties_run(tmp_path, 15.0, duties=2, holders=6, seed=5)
+        assert not outcome.broken, (outcome.broken, outcome.faults)
+        assert outcome.takeovers > 3 and outcome.acted > 100
+    run(test)
+
+
+def test_a_leader_cut_off_from_its_followers_but_not_from_clients_acknowledges_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path) as group:
+            old = await group.leader()
+            others = [name for name in group.places if name != old]
+            async with KeeperClient([group.addresses[old]], deadline_s=1.0) as lone, \
+                    KeeperClient([group.addresses[name] for name in others]) as rest:
+                await rest.put("k", b"before")
+                group.places[old].relay.deaf_to |= set(others)
+                for name in others:
+                    group.places[name].relay.deaf_to.add(old)
+                lost = asyncio.gather(lone.put("k", b"lost"), lone.get("k"), return_exceptions=True)
+                assert (await rest.put("k", b"after"))["version"] == 2
+                write, read = await lost
+                assert isinstance(write, Exception) and (isinstance(read, Exception) or read.value == b"before")
+                group.heal()
+                await group.settled(3)
+                entry = await lone.get("k")
+                assert entry is not None and entry.value == b"after" and entry.version == 2
+            status = await asyncio.to_thread(mastlift, "group", "status", "--json", "--keepers",
+                                             ",".join(group.keepers))
+            assert status.returncode == 0 and status.stdout.count('"leader"') >= 3
+    run(test)
+
+
+def test_a_leader_change_ends_no_lease_early_and_sigterm_hands_over(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path) as group, KeeperClient(group.keepers) as client:
+            lease = await client.grant(2500)
+            await client.put("held", b"", lease=lease)
+            await asyncio.sleep(1.5)
+            first = await group.leader()
+            assert await group.places[first].child.end() == 0
+            group.places[first].child = None
+            second = await group.leader()
+            assert second != first
+            await asyncio.sleep(1.5)  # longer than was left, shorter than the full time
+            assert await client.get("held") is not None
+            await group.places[second].child.event("lease_ended")
+            assert await client.get("held") is None
+    run(test)
+
+
+def test_members_are_added_removed_and_replaced_and_a_strange_group_is_turned_away(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, snapshot={"entries": 50}) as group, KeeperClient(group.keepers) as client:
+            for i in range(120):  # more than one snapshot: a new member gets it in pieces
+                await client.put(f"k{i % 10}", b"%d" % i)
+            named = ",".join(group.keepers)
+            addresses = {**group.addresses, "d": free_address()}
+            config = keeper_settings(tmp_path / "d", addresses["d"], "d", addresses)
+            async with keeper(config) as new, KeeperClient([addresses["d"]]) as at_new:
+                added = await asyncio.to_thread(mastlift, "group", "add", "d", "--keepers", named)
+                assert added.returncode == 0, added.stderr
+                while len((await group.status())[await group.leader()]["voters"]) < 4:
+                    await asyncio.sleep(0.1)
+                assert (await at_new.ls("k9"))["entries"][0]["value"] == "119"
+                removed = await asyncio.to_thread(mastlift, "group", "remove", "d", "--keepers", named)
+                assert removed.returncode == 0 and await new.end() == 0
+            await group.settled(3)
+            name = await group.leader()
+            await group.places[name].empty()
+            await group.places[name].start()
+            await group.settled(3)
+            status = await group.status()
+            assert status[name]["id"] != f"{name}.0@{group.addresses[name]}"
+            assert (await client.ls("k9"))["entries"][0]["value"] == "119"
+            again = await asyncio.to_thread(mastlift, "keeper", "run", "--new-group", "--config",
+                                            _emptied(tmp_path, group.addresses))
+            assert again.returncode == 2 and "without --new-group" in again.stderr
+            async with aiohttp.ClientSession() as http:
+                for body, part in ((b"nonsense", "bad_call"), (_batch("other"), "of the group 'g', not of 'other'")):
+                    async with http.post(f"http://{group.keepers[0]}/peer", data=body) as response:
+                        assert response.status in (400, 409) and part in await response.text()
+    run(test)
+
+
+def _batch(group: str) -> bytes:
+    from mastlift.keeper.peers import ENCODE, PEER_FORMAT, Batch
+    return ENCODE(Batch(PEER_FORMAT, group, "x.0@127.0.0.1:1", "a", []))
+
+
+def _emptied(folder: Path, addresses: dict[str, str]) -> Path:
+    """Settings of a member whose disk is empty, told by mistake to begin a group."""
+    name = sorted(addresses)[0]
+    return keeper_settings(folder / "mistake", free_address(), name, addresses)
+
+
+def test_a_holder_that_wakes_up_late_changes_nothing_and_its_command_is_ended(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with (running(tmp_path) as group, resource() as res, KeeperClient(group.keepers) as client,
+                    holder(group, res, "d", "one", ttl_s=1.0) as one,
+                    holder(group, res, "d", "two", ttl_s=1.0) as two):
+            first, second = one, two
+            while not command_pid(one) and not command_pid(two):
+                await asyncio.sleep(0.02)
+            if command_pid(two):
+                first, second = two, one
+            token = max(res.highest.values(), default=0) or (await all_duties(client))["d"].token
+            first.send(signal.SIGSTOP)
+            taken = await second.event("command_started")
+            assert taken["token"] > token
+            late = await client.txn([while_held("d", token)], [{"put": {"key": "work", "value": "late"}}])
+            assert not late["then"] and await client.get("work") is None
+            good = await client.txn([while_held("d", taken["token"])], [{"put": {"key": "work", "value": "good"}}])
+            assert good["then"]
+            while res.refused["d"] == 0:  # its command acts on: the resource turns it away
+                await asyncio.sleep(0.02)
+            first.send(signal.SIGCONT)
+            assert (await first.event("command_ended"))["why"] in ("lost", "no renewal in time")
+            refused = res.refused["d"]
+            await asyncio.sleep(0.3)
+            assert res.refused["d"] == refused
+    run(test)
+
+
+def test_the_line_is_fair_the_gone_are_passed_over_and_operators_move_duties(tmp_path: Path) -> None:
+    async def test() -> None:
+        listen = free_address()
+        async with keeper(keeper_settings(tmp_path, listen)), KeeperClient([listen]) as client:
+            candidates = []
+            for name in ("a", "b", "c", "d"):
+                duty = Duty(client, "x", name, 3000)
+                candidates.append((duty, asyncio.create_task(duty.take())))
+                while name not in [seen.holder or "" for seen in (await all_duties(client)).values()] + [
+                        one for seen in (await all_duties(client)).values() for _, one in seen.line]:
+                    await asyncio.sleep(0.01)
+            (a, a_takes), (b, b_takes), (c, c_takes), (d, d_takes) = candidates
+            assert await a_takes and a.state is Holding.HELD and b.state is Holding.LOST
+            assert (await a.put("done", "by a")) > 0
+            b_takes.cancel()
+            await asyncio.gather(b_takes, return_exceptions=True)
+            await b.leave()
+            moved = await asyncio.to_thread(mastlift, "duty", "move", "x", "d", "--keepers", listen)
+            assert moved.returncode == 0, moved.stderr
+            await asyncio.wait_for(a.asked_to_leave.wait(), 5)
+            token = a.token
+            await a.leave()
+            assert await d_takes > token and not c_takes.done()
+            a.token, a.lease = token, 0
+            with pytest.raises(Refused, match="not_held"):
+                await a.put("done", "by a again")
+            listed = await asyncio.to_thread(mastlift, "duty", "ls", "--keepers", listen)
+            assert "line: c" in listed.stdout and listed.stdout.split()[:2] == ["x", "d"]
+            await d.leave()
+            assert await c_takes > token
+            nobody = await asyncio.to_thread(mastlift, "duty", "give-up", "x", "--keepers", listen)
+            assert nobody.returncode == 1 and "in its line" in nobody.stderr
+            await c.leave()
+            code = await asyncio.to_thread(mastlift, "duty", "hold", "y", "--ttl", "2", "--keepers", listen, "--",
+                                           sys.executable, "-c", "import os,sys; sys.exit(int(os.environ"
+                                           "['MASTLIFT_DUTY_TOKEN']) > 0 and 7)")
+            assert code.returncode == 7, code.stderr
+    run(test)
+
+
+RATE = st.floats(0.99, 1.01)
+
+
+@given(RATE, RATE, st.lists(st.tuples(st.floats(0, 900), st.floats(0, 3000), st.floats(0, 9000)), max_size=12))
+def test_a_holder_stops_before_the_keeper_can_give_its_duty_away(
+        keeper_rate: float, holder_rate: float, renewals: list[tuple[float, float, float]]) -> None:
+    """Clocks 1% apart either way, renewals that travel for long, answers that come after the lease would have ended.
+    True times; each clock reads them at its own rate."""
+    ttl = 2000
+    mine, lease = HolderClock(ttl), LeaseClock(0.0)
+    lease.started(1, ttl, 0, 0.0)
+    mine.renewed(0.0)
+    keeper_ends, sent = ttl / keeper_rate, 0.0
+    answers: list[tuple[float, float]] = [(0.0, 0.0)]
+    for number, (pause, out, back) in enumerate(renewals, 1):
+        sent += pause
+        if sent + out >= keeper_ends:
+            break  # the keeper has ended it: no answer will say that it was renewed
+        lease.started(1, ttl, number, (sent + out) * keeper_rate)
+        keeper_ends = max(keeper_ends, sent + out + ttl / keeper_rate)
+        answers.append((sent + out + back, sent))
+    for heard, began in sorted(answers):
+        mine.renewed(began * holder_rate)
+        assert mine.until / holder_rate <= keeper_ends + 1e-6
+        if heard >= keeper_ends:
+            assert mine.state(heard * holder_rate) is not Holding.HELD
