--- a/mastlift/cli.py
+++ b/mastlift/cli.py
@@ -355,7 +355,7 @@
 
 @app.command("bench")
 @plainly
-def bench(name: Annotated[str, typer.Argument(help="durable")],
+def bench(name: Annotated[str, typer.Argument(help="durable or consensus")],
           quick: Annotated[bool, typer.Option("--quick", help="Within 50 s on 8 cores.")] = False,
           json: Annotated[Path | None, typer.Option(help="Write the figures to this file, one flat object.")] = None,
           ) -> None:
--- a/mastlift/consensus/driver.py
+++ b/mastlift/consensus/driver.py
@@ -48,6 +48,12 @@
     def index(self) -> int: ...
 
 
+def _seen_to(future: asyncio.Future[int]) -> None:
+    """Those who wait for it are told; that nobody does is no error."""
+    if not future.cancelled():
+        future.exception()
+
+
 def _no_task() -> asyncio.Task[None] | None:
     return None
 
@@ -83,6 +89,7 @@
         self._proposed: list[tuple[bytes, asyncio.Future[Any]]] = []
         self._waiting: dict[int, tuple[int, asyncio.Future[Any]]] = {}
         self._reads: dict[int, asyncio.Future[int]] = {}
+        self._next_read: asyncio.Future[int] | None = None
         self._read_after: list[tuple[int, asyncio.Future[None]]] = []
         self._tokens = 0
         self._incoming = bytearray()
@@ -138,22 +145,43 @@
         self.do(actions)
 
     async def read_barrier(self) -> None:
-        """Return once all that was acknowledged before this call is applied here. Raises NotLeader, Outdated."""
+        """Return once all that was acknowledged before this call is applied here. Raises NotLeader, Outdated.
+
+        Reads that come while a round to the peers is under way share the next one."""
+        if not self.leads:
+            raise r.NotLeader(self.core.leader)
         loop = asyncio.get_running_loop()
-        self._tokens += 1
-        future: asyncio.Future[int] = loop.create_future()
-        self._reads[self._tokens] = future
-        try:
-            self.do(self.core.read(self._tokens, now_ms()))
-        except r.NotLeader:
-            self._reads.pop(self._tokens, None)
-            raise
-        index = await future
+        if self._next_read is None:
+            self._next_read = loop.create_future()
+            if not self._reads:
+                loop.call_soon(self._begin_read)
+        index = await asyncio.shield(self._next_read)
         if self.replica.index < index:
             applied: asyncio.Future[None] = loop.create_future()
             self._read_after.append((index, applied))
             await applied
 
+    def _begin_read(self) -> None:
+        future, self._next_read = self._next_read, None
+        if future is None:
+            return
+        self._tokens += 1
+        self._reads[self._tokens] = future
+        try:
+            self.do(self.core.read(self._tokens, now_ms()))
+        except r.NotLeader as error:
+            self._end_read(self._tokens, error)
+
+    def _end_read(self, token: int, what: int | Exception) -> None:
+        future = self._reads.pop(token)
+        future.add_done_callback(_seen_to)
+        if isinstance(what, int):
+            future.set_result(what)
+        else:
+            future.set_exception(what)
+        if self._next_read is not None and not self._reads:
+            self._begin_read()
+
     def change(self, change: Callable[[Members], Members]) -> None:
         """Raises NotLeader, NotNow."""
         wanted = change(self.core.members)
@@ -227,9 +255,9 @@
                 case r.StorePiece():
                     self._store_piece(action)
                 case r.ReadReady():
-                    self._reads.pop(action.token).set_result(action.index)
+                    self._end_read(action.token, action.index)
                 case r.ReadLost():
-                    self._reads.pop(action.token).set_exception(Outdated("this member does not lead any more"))
+                    self._end_read(action.token, Outdated("this member does not lead any more"))
                 case r.RoleChanged():
                     self._changed(action)
 
--- a/mastlift/lab/benches/__init__.py
+++ b/mastlift/lab/benches/__init__.py
@@ -7,7 +7,8 @@
 from typing import cast
 
 Figures = dict[str, float | int | str]
-NAMES = {"durable": "the log, its recovery and the keeper before it, against raw files and a bare echo"}
+NAMES = {"durable": "the log, its recovery and the keeper before it, against raw files and a bare echo",
+         "consensus": "a group of keepers against one alone, its failovers, and duties changing hands"}
 
 
 def load(name: str) -> Callable[[bool, Callable[[str], None]], Figures]:
--- /dev/null
+++ b/mastlift/lab/benches/consensus.py
@@ -0,0 +1,172 @@
+"""Figures of the group and of duties. Real processes, except where a name says `simulated` or `core`."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import tempfile
+import time
+from collections import deque
+from collections.abc import Callable
+from pathlib import Path
+from statistics import median
+
+import uvloop
+
+from mastlift.consensus import core as r
+from mastlift.consensus.log import Log
+from mastlift.consensus.messages import Members
+from mastlift.duty.holder import Duty
+from mastlift.keeper.client import KeeperClient
+from mastlift.lab.benches import Figures
+from mastlift.lab.benches.load import rate
+from mastlift.lab.chaos import ChaosGroup, running
+from mastlift.lab.groupsim import Faults, Group
+
+CLIENTS = 256
+
+
+def core_alone(commands: int, batch: int = 64) -> Figures:
+    """Three cores that hand each other messages at once, each sync at once: what the rules alone cost."""
+    members = Members(("a", "b", "c"))
+    cores = {id_: r.Core(id_, Log(0, 0, members), random.Random(id_)) for id_ in members.voters}
+    queue: deque[tuple[str, list[r.Action]]] = deque()
+    now = 10_000.0
+
+    def settle() -> None:
+        while queue:
+            id_, actions = queue.popleft()
+            core = cores[id_]
+            if any(isinstance(action, r.Write | r.Save) for action in actions):
+                queue.append((id_, core.synced(core.log.last, core.log.last_term)))
+            for action in actions:
+                if isinstance(action, r.Send):
+                    queue.append((action.to, cores[action.to].receive(id_, action.message, now)))
+
+    queue.append(("a", cores["a"].tick(now)))
+    settle()
+    leader = cores["a"]
+    assert leader.role is r.Role.LEADER
+    started, cpu, data = time.perf_counter(), time.process_time(), [os.urandom(100)] * batch
+    for _ in range(commands // batch):
+        queue.append(("a", leader.propose(data, now)[1]))
+        settle()
+    took, used = time.perf_counter() - started, time.process_time() - cpu
+    assert leader.commit == leader.log.last
+    return {"core_commands_per_s": commands / took, "core_cpu_us_per_command": used / commands * 1e6}
+
+
+def failover_simulated(seeds: int) -> Figures:
+    """Times without a leader after it was killed, over the longest election time-out."""
+    times: list[float] = []
+    for seed in range(seeds):
+        group = Group(seed, members=3, length_ms=12_000.0, faults=Faults(0.0, 0.0, 0.0, 1e12))
+
+        def kill(group: Group = group) -> None:
+            leader = group._leader()
+            if leader is not None:
+                group.crash(leader)
+                group._lost_leader_at = group.now
+                group.after(500.0, lambda: group.restart(leader))
+        for at in range(1500, 11_000, 1500):
+            group.at(float(at), kill)
+        group.run()
+        times += group.leaderless
+    times.sort()
+    return {"failover_p99_vs_election": times[len(times) * 99 // 100] / (2 * r.Timing().election),
+            "failover_simulated_kills": len(times), "failover_simulated_ms_p50": median(times)}
+
+
+async def _failover_real(group: ChaosGroup, kills: int) -> Figures:
+    """From the kill of the leader to the next write that is acknowledged."""
+    times = []
+    async with KeeperClient(group.keepers, deadline_s=20.0) as client:
+        for number in range(kills):
+            name = await group.leader()
+            await group.settled(3)
+            started = time.monotonic()
+            await group.places[name].kill()
+            await client.put("failover", b"%d" % number)
+            times.append((time.monotonic() - started) * 1000)
+            await group.places[name].start()
+    return {"failover_real_ms_p50": median(times), "failover_real_ms_max": max(times)}
+
+
+async def _release(group: ChaosGroup, times: int) -> Figures:
+    """From the holder's clean end to the next holder's token."""
+    took: list[float] = []
+    async with KeeperClient(group.keepers) as one, KeeperClient(group.keepers) as two:
+        holding, waiting = Duty(one, "bench", "one", 5000), Duty(two, "bench", "two", 5000)
+        await holding.take()
+        for _ in range(times):
+            taking = asyncio.create_task(waiting.take())
+            await asyncio.sleep(0.1)  # until it stands in the line
+            started = time.perf_counter()
+            await holding.leave()
+            await taking
+            took.append((time.perf_counter() - started) * 1000)
+            holding, waiting = waiting, holding
+        await holding.leave()
+    took.sort()
+    return {"release_ms_p50": median(took), "release_ms_p99": took[len(took) * 99 // 100]}
+
+
+def _cpu(pid: int) -> float:
+    """Seconds of processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def _renewals(seconds: float) -> Figures:
+    """Processor time of the leader for each renewal, with 10,000 leases over with 100."""
+    costs = {}
+    for leases in (100, 10_000):
+        with tempfile.TemporaryDirectory(prefix="mastlift-bench-") as folder:
+            async with running(Path(folder), "abc") as group, KeeperClient(group.keepers) as client:
+                await asyncio.sleep(1.0)  # ids are places in the order: what a group notes at its start comes first
+                ids = [await client.grant(3_600_000)]
+                while len(ids) < leases:  # few at once: the relays run in this process
+                    more = min(250, leases - len(ids))
+                    ids += await asyncio.gather(*(client.grant(3_600_000) for _ in range(more)))
+                first = min(ids)
+                assert max(ids) - first == leases - 1
+                place = group.places[await group.leader()]
+                before = _cpu(place.child.process.pid)
+                done = await asyncio.to_thread(rate, place.relay.target, 32, seconds, f"renew:{first}:{leases}")
+                costs[leases] = (_cpu(place.child.process.pid) - before) / (done * seconds)
+    return {"renewals_cost_10000_vs_100": costs[10_000] / costs[100], "renewal_cpu_us": costs[100] * 1e6}
+
+
+async def _processes(quick: bool) -> Figures:
+    seconds, rounds = (1.5, 2) if quick else (5.0, 5)
+    figures: Figures = {}
+    with tempfile.TemporaryDirectory(prefix="mastlift-bench-") as folder:
+        async with running(Path(folder) / "one", "a") as one, running(Path(folder) / "three", "abc") as three:
+            ratios, reads, ones, threes = [], [], [], []
+            for _ in range(rounds):
+                alone = one.places["a"].relay.target
+                leader = three.places[await three.leader()].relay.target
+                ones.append(await asyncio.to_thread(rate, alone, CLIENTS, seconds))
+                threes.append(await asyncio.to_thread(rate, leader, CLIENTS, seconds))
+                read = await asyncio.to_thread(rate, leader, CLIENTS, seconds, "get")
+                ratios.append(threes[-1] / ones[-1])
+                reads.append(read / threes[-1])
+            figures |= {"three_vs_one": median(ratios), "one_puts_per_s": median(ones),
+                        "three_puts_per_s": median(threes), "read_vs_write": median(reads)}
+            figures |= await _release(three, 30 if quick else 200)
+            figures |= await _failover_real(three, 3 if quick else 20)
+    return figures | await _renewals(1.5 if quick else 6.0)
+
+
+def measure(quick: bool, tell: Callable[[str], None]) -> Figures:
+    """All figures of the group and the duties on it."""
+    figures: Figures = {"clients": CLIENTS}
+    steps: list[tuple[str, Callable[[], Figures]]] = [
+        ("core", lambda: core_alone(100_000 if quick else 500_000)),
+        ("simulated failovers", lambda: failover_simulated(6 if quick else 60)),
+        ("processes", lambda: uvloop.run(_processes(quick)))]
+    for name, step in steps:
+        tell(name)
+        figures |= step()
+    return figures
--- a/mastlift/lab/benches/load.py
+++ b/mastlift/lab/benches/load.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 import subprocess
 import sys
 import tempfile
@@ -37,14 +38,26 @@
     await asyncio.Event().wait()
 
 
-async def _client(address: str, key: str, end: float) -> int:
-    """One connection, one PUT after the other; how many were answered 200. As cheap as can be: no library."""
+def _request(kind: str, name: str, number: int) -> bytes:
+    """`put`, `get`, or `renew:FIRST:N` of the N leases from FIRST on."""
+    if kind == "get":
+        return b"GET /v1/kv/b/%s HTTP/1.1\r\nHost: x\r\n\r\n" % name.encode()
+    if kind.startswith("renew:"):
+        first, count = map(int, kind.split(":")[1:])
+        lease = first + random.randrange(count)
+        return b"POST /v1/leases/%d/renew HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n" % lease
+    return b"PUT /v1/kv/b/%s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s" % (
+        name.encode(), BODY, os.urandom(BODY))
+
+
+async def _client(address: str, kind: str, name: str, end: float) -> int:
+    """One connection, one call after the other; how many were answered 200. As cheap as can be: no library."""
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    body, done = os.urandom(BODY), 0
-    request = b"PUT /v1/kv/%s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s" % (key.encode(), BODY, body)
+    done = 0
+    fixed = b"" if kind.startswith("renew:") else _request(kind, name, 0)
     while time.time() < end:
-        writer.write(request)
+        writer.write(fixed or _request(kind, name, done))
         head = await reader.readuntil(b"\r\n\r\n")
         length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
         await reader.readexactly(length)
@@ -55,17 +68,18 @@
     return done
 
 
-async def drive(address: str, clients: int, begin: float, seconds: float, name: str) -> int:
+async def drive(address: str, clients: int, begin: float, seconds: float, name: str, kind: str) -> int:
     """So many clients from `begin` (Unix seconds) on."""
     await asyncio.sleep(max(0.0, begin - time.time()))
-    return sum(await asyncio.gather(*(_client(address, f"b/{name}/{i}", begin + seconds) for i in range(clients))))
+    return sum(await asyncio.gather(*(_client(address, kind, f"{name}/{i}", begin + seconds) for i in range(clients))))
 
 
-def _rate(address: str, clients: int, seconds: float) -> float:
+def rate(address: str, clients: int, seconds: float, kind: str = "put") -> float:
+    """Calls per second of so many clients in several processes."""
     begin = time.time() + 0.6
     workers = [subprocess.Popen(
         [sys.executable, "-c", f"import uvloop; from mastlift.lab.benches.load import drive; print(uvloop.run(drive("
-                               f"{address!r}, {clients // PROCESSES}, {begin}, {seconds}, '{number}')))"],
+                               f"{address!r}, {clients // PROCESSES}, {begin}, {seconds}, '{number}', {kind!r})))"],
         cwd=ROOT, stdout=subprocess.PIPE, text=True) for number in range(PROCESSES)]
     return sum(int(worker.communicate(timeout=60 + seconds)[0]) for worker in workers) / seconds
 
@@ -79,8 +93,8 @@
             "-c", "import uvloop; from mastlift.lab.benches.load import echo; uvloop.run(echo())"))
         addresses = (await kept.event("ready"))["address"], (await bare.line("echo on")).split()[-1]
         for _ in range(rounds):
-            echoes.append(await asyncio.to_thread(_rate, addresses[1], clients, seconds))
-            rates.append(await asyncio.to_thread(_rate, addresses[0], clients, seconds))
+            echoes.append(await asyncio.to_thread(rate, addresses[1], clients, seconds))
+            rates.append(await asyncio.to_thread(rate, addresses[0], clients, seconds))
             ratios.append(rates[-1] / echoes[-1])
     return {"keeper_put_vs_echo": median(ratios), "keeper_puts_per_s": median(rates), "echo_per_s": median(echoes)}
 
--- a/mastlift/lab/relay.py
+++ b/mastlift/lab/relay.py
@@ -40,8 +40,8 @@
                 there.write(head)
             await asyncio.gather(self._pump(reader, there, self.deaf_to, source),
                                  self._pump(back, writer, self.mute_to, source))
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
+            pass  # the end of a connection, or of the relay
         finally:
             self._tasks.discard(task)
             for end in (writer, there):
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -15,7 +15,7 @@
 
 from mastlift.duty.clock import HolderClock, Holding
 from mastlift.duty.holder import Duty, all_duties, while_held
-from mastlift.keeper.client import KeeperClient, Refused
+from mastlift.keeper.client import KeeperClient, Refused, Unreachable
 from mastlift.lab.chaos import chaos_run, running
 from mastlift.lab.duties import command_pid, duties_run, holder, resource
 from mastlift.lab.processes import free_address, keeper, keeper_settings
@@ -203,6 +203,21 @@
     run(test)
 
 
+def test_clients_whose_keepers_are_all_gone_make_no_storm() -> None:
+    """The pauses double up to 2 s and are at least half of that: so many calls at the most, however fast they fail."""
+    async def test() -> None:
+        gone = [free_address() for _ in range(3)]
+        clients = [KeeperClient(gone, deadline_s=5.0, seed=number) for number in range(100)]
+
+        async def ask(client: KeeperClient) -> None:
+            async with client:
+                with pytest.raises(Unreachable):
+                    await client.put("k", b"")
+        await asyncio.gather(*map(ask, clients))
+        assert all(client.calls <= 12 for client in clients)
+    run(test)
+
+
 RATE = st.floats(0.99, 1.01)
 
 
