Check holders of duties in simulated time on the real core and lease arithmetic

Need: that no two holders act at one true time must be shown under schedules, not only by processes. `lab check duties` puts four holders with clocks up to 1% off, lost and late answers and pauses of up to 3 s on the group's schedules, and looks at each action whether another may act then.

--- a/mastlift/cli.py
+++ b/mastlift/cli.py
@@ -6,16 +6,16 @@
 from collections.abc import Callable
 from functools import wraps
 from pathlib import Path
-from typing import Annotated, Any, NoReturn, ParamSpec, TypeVar
+from typing import Annotated, Any, ParamSpec, TypeVar
 
 import msgspec
 import typer
 
 from mastlift.duty.cli import app as duty_app
+from mastlift.keeper.command import BAD_CALL, DAMAGE, DEFAULT_KEEPER, NO, Keepers, fail, with_keeper
 from mastlift.lab.cli import app as lab_app
 from mastlift.logs import LogForm, start_logging
 
-NO, BAD_CALL, DAMAGE = 1, 2, 3
 P = ParamSpec("P")
 R = TypeVar("R")
 HELP = """What runs a fleet through failures.
@@ -37,16 +37,8 @@
 app.add_typer(lab_app, name="lab")
 
 Json = Annotated[bool, typer.Option("--json", help="One JSON object, for programs.")]
-Keepers = Annotated[str, typer.Option("--keepers", envvar="MASTLIFT_KEEPERS", help="HOST:PORT, several by commas.")]
 Seconds = Annotated[float, typer.Option("--within", help="Give up after so many seconds.")]
 Folder = Annotated[Path, typer.Argument(help="The keeper's data folder.")]
-DEFAULT_KEEPER = "127.0.0.1:7500"
-
-
-def fail(code: int, message: object) -> NoReturn:
-    """One line, and the exit code."""
-    typer.echo(f"mastlift: {' '.join(str(message).split())}", err=True)
-    raise typer.Exit(code)
 
 
 def show(body: Any) -> None:
@@ -96,28 +88,6 @@
     process.run(load(config, Settings), config.parent, new_group=new_group)
 
 
-def _with_keeper(keepers: str, within: float, work: Callable[[Any], Any]) -> Any:
-    """Run `work` with a client. Refusals and silence are one line: 1 for a no, 2 for a bad call."""
-    import asyncio
-
-    from mastlift.keeper.client import KeeperClient, Refused, Unreachable
-    from mastlift.settings import address
-
-    async def run() -> Any:
-        names = [name.strip() for name in keepers.split(",")]
-        for name in names:
-            address(name, "--keepers")
-        async with KeeperClient(names, within) as client:
-            return await work(client)
-
-    try:
-        return asyncio.run(run())
-    except Refused as refused:
-        fail(BAD_CALL if refused.status in (400, 413) else NO, refused)
-    except Unreachable as error:
-        fail(NO, error)
-
-
 @kv_app.command("put")
 @plainly
 def kv_put(key: str, value: Annotated[str, typer.Argument(help="The value; - reads standard input.")],
@@ -127,7 +97,7 @@
            keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0, json: Json = False) -> None:
     """Store a value. Prints the revision."""
     data = sys.stdin.buffer.read() if value == "-" else value.encode(errors="surrogateescape")
-    told = _with_keeper(keepers, within, lambda client: client.put(key, data, if_revision, lease))
+    told = with_keeper(keepers, within, lambda client: client.put(key, data, if_revision, lease))
     show(told) if json else typer.echo(f"{key} is stored at revision {told['revision']}")
 
 
@@ -137,7 +107,7 @@
     """Print a value as it is. Exit code 1 if there is no such key."""
     from mastlift.keeper.wire import entry_json
 
-    entry = _with_keeper(keepers, within, lambda client: client.get(key))
+    entry = with_keeper(keepers, within, lambda client: client.get(key))
     if entry is None:
         fail(NO, f"no key {key}")
     if json:
@@ -156,7 +126,7 @@
 
     from mastlift.keeper.wire import value_of
 
-    told = _with_keeper(keepers, within, lambda client: client.ls(prefix))
+    told = with_keeper(keepers, within, lambda client: client.ls(prefix))
     if json:
         return show(told)
     table = Table("key", "changed", "version", "bytes", "lease", box=None)
@@ -172,7 +142,7 @@
 def kv_rm(key: str, if_revision: int | None = None, keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0,
           json: Json = False) -> None:
     """Delete a key. Exit code 1 if there was none."""
-    told = _with_keeper(keepers, within, lambda client: client.delete(key, if_revision))
+    told = with_keeper(keepers, within, lambda client: client.delete(key, if_revision))
     if json:
         show(told)
     if not told["deleted"]:
@@ -202,11 +172,11 @@
                 if seen == count:
                     return
 
-    _with_keeper(keepers, within, work)
+    with_keeper(keepers, within, work)
 
 
 def _change_group(do: str, name: str, keepers: str, within: float, json: bool) -> None:
-    told = _with_keeper(keepers, within, lambda client: client.change_group(do, name))
+    told = with_keeper(keepers, within, lambda client: client.change_group(do, name))
     show(told) if json else typer.echo(f"{do} {name}: voters {', '.join(told['voters'])}"
                                        + (f"; learners {', '.join(told['learners'])}" if told["learners"] else ""))
 
--- a/mastlift/duty/cli.py
+++ b/mastlift/duty/cli.py
@@ -11,35 +11,12 @@
 import typer
 from msgspec import json as mjson
 
+from mastlift.keeper.command import BAD_CALL, DEFAULT_KEEPER, NO, Keepers, fail, with_keeper
 from mastlift.logs import LogForm, start_logging
 
 app = typer.Typer(help="Duties that only one process may hold at a time.", no_args_is_help=True)
-Keepers = Annotated[str, typer.Option("--keepers", envvar="MASTLIFT_KEEPERS", help="HOST:PORT, several by commas.")]
+WITHIN_S = 10.0
 Json = Annotated[bool, typer.Option("--json", help="One JSON object a line, for programs.")]
-DEFAULT_KEEPER = "127.0.0.1:7500"
-
-
-def _fail(code: int, text: str) -> typer.Exit:
-    typer.echo(f"mastlift: {text}", err=True)
-    return typer.Exit(code)
-
-
-def _with_client(keepers: str, work: Any, within: float = 10.0) -> Any:
-    from mastlift.keeper.client import KeeperClient, Refused, Unreachable
-    from mastlift.settings import BadSettings, address
-
-    async def run() -> Any:
-        names = [name.strip() for name in keepers.split(",")]
-        for name in names:
-            address(name, "--keepers")
-        async with KeeperClient(names, within) as client:
-            return await work(client)
-    try:
-        return asyncio.run(run())
-    except BadSettings as error:
-        raise _fail(2, str(error)) from None
-    except (Refused, Unreachable) as error:
-        raise _fail(1, str(error)) from None
 
 
 @app.command()
@@ -59,7 +36,7 @@
     start_logging(LogForm.AUTO)
     most = min(5.0, ttl / 4) if grace is None else grace
     if most > ttl / 2:
-        raise _fail(2, f"--grace: {most:g} s is more than half of the ttl ({ttl:g} s): nothing would be left to act in")
+        fail(BAD_CALL, f"--grace: {most:g} s is more than half of the ttl ({ttl:g} s): nothing would be left to act in")
 
     async def work(client: Any) -> int:
         ending, loop = asyncio.Event(), asyncio.get_running_loop()
@@ -69,9 +46,9 @@
         try:
             return await hold_(duty, command, ending, most * 1000)
         except FileNotFoundError as error:
-            raise _fail(2, f"{command[0]}: {error.strerror}") from None
+            fail(BAD_CALL, f"{command[0]}: {error.strerror}")
 
-    raise typer.Exit(_with_client(keepers, work, within=max(5.0, ttl)))
+    raise typer.Exit(with_keeper(keepers, max(5.0, ttl), work))
 
 
 @app.command()
@@ -79,7 +56,7 @@
     """Each duty with its holder, token and line."""
     from mastlift.duty.holder import all_duties
 
-    duties = _with_client(keepers, all_duties)
+    duties = with_keeper(keepers, WITHIN_S, all_duties)
     for name, seen in duties.items():
         if json:
             typer.echo(mjson.encode({"duty": name, "holder": seen.holder, "token": seen.token,
@@ -102,14 +79,14 @@
                 typer.echo(f"{seen.token}\t{seen.holder or '(nobody)'}")
                 if seen_lines == count:
                     return
-    _with_client(keepers, work)
+    with_keeper(keepers, WITHIN_S, work)
 
 
 def _send(keepers: str, name: str, to: str) -> None:
     from mastlift.duty.holder import send_to
 
-    if not _with_client(keepers, lambda client: send_to(client, name, to)):
-        raise _fail(1, f"{name}: it has no holder, or {to or 'nobody'} is not in its line")
+    if not with_keeper(keepers, WITHIN_S, lambda client: send_to(client, name, to)):
+        fail(NO, f"{name}: it has no holder, or {to or 'nobody'} is not in its line")
 
 
 @app.command("give-up")
--- a/mastlift/keeper/service.py
+++ b/mastlift/keeper/service.py
@@ -184,6 +184,8 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._look_at_room()
+            if self._snapshot_wanted:
+                self._maybe_snapshot()
             if self.order is None or not self.order.leads:
                 continue
             for revoke in self._clock.tick(now_ms()):
@@ -237,7 +239,7 @@
         log_bytes = self.journal.log_bytes - self._covered_bytes
         due = (order.position() - self._snapshot_index >= limits.entries or log_bytes >= limits.mb * MB)
         due = due and log_bytes >= self._snapshot_bytes  # else a large state would be written over and over
-        if self._snapshot_wanted or (due and time.monotonic() >= self._no_snapshot_before):
+        if (self._snapshot_wanted or due) and time.monotonic() >= self._no_snapshot_before:
             started = time.monotonic()
             position, index, blocks = order.snapshot()
             self._snapshot_wanted = False
@@ -264,6 +266,7 @@
         except DiskFull as error:
             self.log.warning("snapshot_put_off", reason=str(error))
             self._no_snapshot_before = time.monotonic() + SNAPSHOT_AGAIN_S
+            self._snapshot_wanted = True
             if writer is not None:
                 await loop.run_in_executor(self._snapshot_thread, writer.abandon)
         except DiskFailed as error:
--- a/mastlift/lab/cli.py
+++ b/mastlift/lab/cli.py
@@ -67,7 +67,7 @@
 
 
 @app.command()
-def check(what: Annotated[str, typer.Argument(help="consensus")],
+def check(what: Annotated[str, typer.Argument(help="consensus or duties")],
           runs: Annotated[int, typer.Option(min=1, help="How many schedules.")] = 200, seed: Seed = 0,
           without: Annotated[str, typer.Option(help="Leave out the faults of these numbers: 3,5,7")] = "",
           mutation: Annotated[str, typer.Option(help="Break this rule on purpose, or `all` in turn.")] = "",
@@ -77,11 +77,11 @@
     Exit code 1 with the first schedule that breaks a rule, shrunk: `--runs 1 --seed S --without ...` replays it."""
     from mastlift.lab import schedules
 
-    if what != "consensus":
-        typer.echo(f"mastlift: there is no check '{what}'; there is: consensus", err=True)
+    if what not in schedules.KINDS:
+        typer.echo(f"mastlift: there is no check '{what}'; there are: {', '.join(schedules.KINDS)}", err=True)
         raise typer.Exit(2)
-    known = schedules.mutations()
-    names = known if mutation == "all" else [mutation]
+    known = schedules.KINDS[what].mutations
+    names = known if mutation == "all" else (mutation,)
     if mutation and not set(names) <= set(known):
         typer.echo(f"mastlift: --mutation: '{mutation}' is not known; known: {', '.join(known)}", err=True)
         raise typer.Exit(2)
@@ -91,7 +91,7 @@
     with Progress(transient=True, disable=json) as progress:
         for name in names:
             advance = partial(progress.advance, progress.add_task(name or what, total=runs))
-            found = schedules.play(range(seed, seed + runs), skipped, name, advance)
+            found = schedules.play(range(seed, seed + runs), skipped, name, advance, what=what)
             if mutation == "all":
                 told[name] = f"found after {found.schedules} schedules" if found.broken else "NOT FOUND"
                 broken += [] if found.broken else [f"{name} was not found in {runs} schedules"]
--- /dev/null
+++ b/mastlift/lab/dutysim.py
@@ -0,0 +1,273 @@
+"""Holders of one duty in simulated time, on the group of `groupsim`: its core, its store, the keepers' lease arithmetic
+and the holder's, with calls and answers that are lost or very late, clocks of unequal rates, and pauses of anybody.
+
+The rule, checked at each action: no two holders may act at the same true time, and tokens only grow.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from mastlift.consensus import core as r
+from mastlift.duty.clock import HolderClock, Holding
+from mastlift.lab.groupsim import Group, Node
+from mastlift.store import commands as c
+from mastlift.store.leases import LeaseClock
+from mastlift.store.machine import Store
+
+KEY = "duty/x/holder"
+HOLDERS = 4
+TTL_MS = 900
+ACT_MS = 12.0
+Heard = Callable[[c.Result | None], None]
+
+
+class Holder:
+    """One candidate: takes the duty when it is free, renews, acts, and leaves now and then."""
+
+    def __init__(self, group: DutyGroup, number: int) -> None:
+        self.group, self.rng = group, random.Random(group.seed * 101 + number)
+        self.rate, self.name = self.rng.uniform(0.99, 1.01), b"h%d" % number
+        self.paused_until = 0.0
+        self.lease = self.token = 0
+        self.clock = HolderClock(TTL_MS, lost=True)
+        self.acted = 0
+
+    def now(self) -> float:
+        return self.group.now * self.rate
+
+    def after(self, ms: float, event: Callable[[], None]) -> None:
+        """By true time; what falls into a pause waits for its end."""
+        def awake() -> None:
+            if self.group.now < self.paused_until:
+                self.group.at(self.paused_until, awake)
+            else:
+                event()
+        self.group.after(ms, awake)
+
+    def call(self, command: c.Command, heard: Heard) -> None:
+        """To the leader and back. None: no answer in time; it may come later, or the command may have held."""
+        rng, open_ = self.rng, [True]
+
+        def answer(result: c.Result | None) -> None:
+            if open_[0]:
+                open_[0] = result is None
+                heard(result)
+
+        def back(result: c.Result) -> None:
+            late = rng.random() < 0.05
+            if rng.random() > 0.03:
+                self.after(rng.uniform(300, 3000) if late else rng.expovariate(1 / 8.0), lambda: answer(result))
+
+        def there() -> None:
+            self.group.submit(command, back)
+
+        if rng.random() > 0.03:
+            self.group.after(rng.uniform(200, 2500) if rng.random() < 0.03 else rng.expovariate(1 / 8.0), there)
+        self.after(400.0, lambda: answer(None) if open_[0] else None)
+
+    def begin(self) -> None:
+        self.clock, self.lease, self.token = HolderClock(TTL_MS), 0, 0
+        sent, clock = self.now(), self.clock
+
+        def heard(result: c.Result | None) -> None:
+            if clock is not self.clock or self.lease:
+                return
+            if result is None:
+                self.after(self.rng.uniform(50, 300), self.begin)
+                return
+            self.lease = result.number
+            self.granted(sent)
+            self.try_to_take(clock)
+            self.renew(clock)
+        self.call(c.Grant(TTL_MS), heard)
+
+    def granted(self, sent: float) -> None:
+        self.clock.renewed(sent)
+
+    def try_to_take(self, clock: HolderClock) -> None:
+        if clock is not self.clock or clock.lost or self.token:
+            return
+
+        def heard(result: c.Result | None) -> None:
+            if clock is not self.clock or self.token:
+                return
+            if result is not None and result.outcome is c.Outcome.NO_LEASE:
+                self.lose(clock)
+                return
+            entry = result.entries[0] if result is not None and result.entries else None
+            if entry is not None and entry.lease == self.lease:
+                self.token = entry.created
+                self.act(clock)
+            else:
+                self.after(self.rng.uniform(20, 200), lambda: self.try_to_take(clock))
+        self.call(c.Txn((c.Compare(KEY, c.Field.VERSION, c.Test.EQUAL, 0),), (c.Put(KEY, self.name, self.lease),),
+                        (c.Get(KEY),)), heard)
+
+    def renew(self, clock: HolderClock) -> None:
+        if clock is not self.clock or clock.lost:
+            return
+        sent = self.now()
+
+        def heard(result: c.Result | None) -> None:
+            if clock is not self.clock:
+                return
+            if result is not None and result.outcome is c.Outcome.OK:
+                self.renewed(sent)
+            elif result is not None:
+                self.lose(clock)
+        self.call(c.Renew(self.lease), heard)
+        self.after(clock.renew_every_ms, lambda: self.renew(clock))
+
+    def renewed(self, sent: float) -> None:
+        self.clock.renewed(sent)
+
+    def lose(self, clock: HolderClock) -> None:
+        clock.gone()
+        self.after(self.rng.uniform(20, 300), self.begin)
+
+    def act(self, clock: HolderClock) -> None:
+        """Asks its clock, then acts in the same instant."""
+        if clock is not self.clock or clock.lost:
+            return
+        if clock.state(self.now()) is Holding.HELD:
+            self.acted += 1
+            self.group.acted(self)
+            if self.rng.random() < 0.004:
+                clock.gone()
+                self.call(c.Revoke(self.lease), lambda _: None)
+                self.after(self.rng.uniform(20, 300), self.begin)
+                return
+        self.after(self.rng.expovariate(1 / ACT_MS), lambda: self.act(clock))
+
+    def may_act(self) -> bool:
+        return bool(self.token) and self.clock.state(self.now()) is Holding.HELD
+
+
+class DutyGroup(Group):
+    """A group's schedule with holders on it instead of the clients' history alone."""
+
+    def __init__(self, seed: int, without: frozenset[int] = frozenset()) -> None:
+        self.clocks: dict[str, tuple[int, LeaseClock]] = {}
+        self.highest = 0
+        self._results: dict[int, c.Result] = {}
+        self._referee = Store()
+        super().__init__(seed, length_ms=12_000.0, without=without)
+        self.holders = [Holder(self, number) for number in range(HOLDERS)]
+        for holder in self.holders:
+            self.after(600.0 + 20.0 * len(holder.name), holder.begin)
+            self._pauses(holder)
+
+    def _pauses(self, holder: Holder) -> None:
+        def pause() -> None:
+            if self.now < self.length * self.faults.calm_from:
+                holder.paused_until = self.now + holder.rng.choice((30.0, 200.0, 1000.0, 3000.0)) * holder.rng.random()
+                self._pauses(holder)
+        self.after(holder.rng.expovariate(1 / 1500.0), pause)
+
+    # --- the keepers' time ---
+
+    def _clock(self, node: Node) -> LeaseClock:
+        life, clock = self.clocks.get(node.id, (-1, LeaseClock(0.0)))
+        if life != node.life:
+            clock = LeaseClock(self.now * node.rate, self._leases(node))
+            self.clocks[node.id] = node.life, clock
+        return clock
+
+    @staticmethod
+    def _leases(node: Node) -> list[tuple[int, int, int]]:
+        return [(lease, one.ttl_ms, one.renewals) for lease, one in node.store.leases.items()]
+
+    def _role(self, node: Node, change: r.RoleChanged) -> None:
+        super()._role(node, change)
+        if change.role is r.Role.LEADER:
+            self.clocks[node.id] = node.life, LeaseClock(self.now * node.rate, self._leases(node))
+
+    def _check_state(self, node: Node) -> None:
+        super()._check_state(node)
+        log, clock, now = node.core.log, self._clock(node), self.now * node.rate
+        if not log.base < node.applied <= log.last:
+            return
+        entry = log.entries[node.applied - log.base - 1]
+        command = c.DECODE_ALL(entry.data)[0].command if entry.data else None
+        if isinstance(command, c.Grant | c.Renew | c.Revoke):
+            lease = node.applied if isinstance(command, c.Grant) else command.lease
+            standing = node.store.leases.get(lease)
+            if standing is None:
+                clock.ended(lease)
+            elif not isinstance(command, c.Revoke):
+                clock.started(lease, standing.ttl_ms, standing.renewals, now)
+
+    def _tick(self, node: Node, life: int) -> None:
+        super()._tick(node, life)
+        if self._alive(node, life) and self.now >= node.paused_until:
+            due = self._clock(node).tick(self.now * node.rate)
+            if node.core.role is r.Role.LEADER:
+                for revoke in due:
+                    self._propose(node, self.ending(revoke))
+
+    def ending(self, revoke: c.Revoke) -> c.Revoke:
+        return revoke
+
+    def _propose(self, node: Node, command: c.Command) -> int:
+        try:
+            index, actions = node.core.propose([c.encode([c.Envelope(command)])], self.now * node.rate)
+        except (r.NotLeader, r.NotNow):
+            return 0
+        self._do(node, actions)
+        return index
+
+    def submit(self, command: c.Command, heard: Callable[[c.Result], None]) -> None:
+        """A holder's call at a member that thinks it leads; answered only if it is committed there."""
+        node = self._leader()
+        if node is None:
+            return
+        term, life = node.core.term, node.life
+        index, until = self._propose(node, command), self.now + 3000.0
+
+        def look() -> None:
+            if not index or not self._alive(node, life) or self.now > until:
+                return
+            if node.applied < index:
+                self.after(2.0, look)
+            elif len(self.committed) >= index and self.committed[index - 1].term == term:
+                heard(self.results[index])
+        look()
+
+    @property
+    def results(self) -> dict[int, c.Result]:
+        """What each committed command came to, by a state machine that stands apart."""
+        while self._referee.index < len(self.committed):
+            entry = self.committed[self._referee.index]
+            if entry.data:
+                result = self._referee.apply(c.DECODE_ALL(entry.data)[0])
+                self._results[self._referee.index] = result
+            else:
+                self._referee.index += 1
+        return self._results
+
+    # --- the rule ---
+
+    def acted(self, holder: Holder) -> None:
+        for other in self.holders:
+            if other is not holder and other.may_act():
+                raise self.broken(f"{holder.name.decode()} acts with token {holder.token} while {other.name.decode()} "
+                                  f"holds with token {other.token}")
+        if holder.token < self.highest:
+            raise self.broken(f"{holder.name.decode()} acts with token {holder.token} after {self.highest} has")
+        if holder.token > self.highest:
+            self.seen["holders in turn"] += 1
+        self.highest = holder.token
+        self.seen["actions"] += 1
+
+
+def check_duties(seed: int, without: frozenset[int] = frozenset()) -> Counter[str]:
+    """One schedule; what happened in it. Raises Broken."""
+    group = DutyGroup(seed, without)
+    group.run()
+    late = group.seen["actions"]
+    if not late or not any(holder.acted for holder in group.holders):
+        raise group.broken("nobody ever acted")
+    return group.seen
--- a/mastlift/lab/groupsim.py
+++ b/mastlift/lab/groupsim.py
@@ -638,10 +638,11 @@
         raise group.broken(f"{cut[0]} was cut off, came back, and unseated the leader: {group.leaders}")
 
 
-def shrink(seed: int, tries: int = 200) -> tuple[frozenset[int], str, list[str]]:
+def shrink(seed: int, tries: int = 200, make: Callable[[int, frozenset[int]], Group] | None = None,
+           ) -> tuple[frozenset[int], str, list[str]]:
     """Leave out faults of a broken schedule as long as it stays broken: which, how it breaks then, and its trace."""
     def outcome(without: frozenset[int]) -> tuple[str, list[str], int] | None:
-        group = Group(seed, without=without)
+        group = make(seed, without) if make else Group(seed, without=without)
         try:
             group.run()
         except (Broken, AssertionError) as error:
--- a/mastlift/lab/mutations.py
+++ b/mastlift/lab/mutations.py
@@ -13,8 +13,10 @@
 from mastlift.consensus.log import Log
 from mastlift.consensus.messages import AppendReply, Entry, Message, Vote, VoteReply
 from mastlift.durable import frames, journal
-from mastlift.lab import groupsim
+from mastlift.duty import clock
+from mastlift.lab import dutysim, groupsim
 from mastlift.lab.simdisk import SimDisk
+from mastlift.store.commands import Revoke
 from mastlift.store.machine import Store
 
 
@@ -111,9 +113,33 @@
 }
 
 
+def _count_from_answer(self: dutysim.Holder, sent: float) -> None:
+    self.clock.renewed(self.now())
+
+
+def _never_ask_the_clock(self: clock.HolderClock, now: float) -> clock.Holding:
+    return clock.Holding.LOST if self.lost else clock.Holding.HELD
+
+
+def _no_time_again(node: groupsim.Node) -> list[tuple[int, int, int]]:
+    return [(lease, 1, one.renewals) for lease, one in node.store.leases.items()]
+
+
+def _end_whatever_came(self: dutysim.DutyGroup, revoke: Revoke) -> Revoke:
+    return Revoke(revoke.lease)
+
+
+DUTY_MUTATIONS: dict[str, tuple[Any, str, Any]] = {
+    "lease-counted-from-answer": (dutysim.Holder, "renewed", _count_from_answer),
+    "clock-not-asked": (clock.HolderClock, "state", _never_ask_the_clock),
+    "new-leader-ends-leases": (dutysim.DutyGroup, "_leases", staticmethod(_no_time_again)),
+    "end-despite-renewal": (dutysim.DutyGroup, "ending", _end_whatever_came),
+}
+
+
 @contextmanager
 def mutated(name: str) -> Iterator[None]:
     """Within this, the named rule is not kept. Raises KeyError for a name that is not known."""
-    owner, attribute, broken = (MUTATIONS | GROUP_MUTATIONS)[name]
+    owner, attribute, broken = (MUTATIONS | GROUP_MUTATIONS | DUTY_MUTATIONS)[name]
     with mock.patch.object(owner, attribute, broken):
         yield
--- a/mastlift/lab/schedules.py
+++ b/mastlift/lab/schedules.py
@@ -11,14 +11,24 @@
 from os import cpu_count
 
 from mastlift.lab.crash import Broken
-from mastlift.lab.groupsim import check_group, shrink
-from mastlift.lab.mutations import GROUP_MUTATIONS, mutated
+from mastlift.lab.dutysim import DutyGroup, check_duties
+from mastlift.lab.groupsim import Group, check_group, shrink
+from mastlift.lab.mutations import DUTY_MUTATIONS, GROUP_MUTATIONS, mutated
 
 AT_ONCE = 8  # schedules handed to a process together
 
 
-def mutations() -> list[str]:
-    return list(GROUP_MUTATIONS)
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of schedule: how it is checked and made, and which rules can be broken in it."""
+
+    check: Callable[[int, frozenset[int]], Counter[str]]
+    make: Callable[[int, frozenset[int]], Group]
+    mutations: tuple[str, ...]
+
+
+KINDS = {"consensus": Kind(check_group, lambda seed, without: Group(seed, without=without), tuple(GROUP_MUTATIONS)),
+         "duties": Kind(check_duties, DutyGroup, tuple(DUTY_MUTATIONS))}
 
 
 @dataclass(slots=True)
@@ -31,19 +41,20 @@
     trace: list[str] = field(default_factory=list)
 
 
-def _some(seeds: list[int], without: frozenset[int], mutation: str) -> tuple[Counter[str], int | None, str]:
+def _some(what: str, seeds: list[int], without: frozenset[int], mutation: str) -> tuple[Counter[str], int | None, str]:
     seen = Counter[str]()
     with mutated(mutation) if mutation else nullcontext():
         for seed in seeds:
             try:
-                seen += check_group(seed, without)
+                seen += KINDS[what].check(seed, without)
             except (Broken, AssertionError, IndexError) as error:  # the core's own assertions count too
                 return seen, seed, f"{type(error).__name__}: {error}"
     return seen, None, ""
 
 
 def play(seeds: Iterable[int], without: frozenset[int] = frozenset(), mutation: str = "",
-         progress: Callable[[int], None] = lambda n: None, shrink_tries: int = 200) -> Found:
+         progress: Callable[[int], None] = lambda n: None, shrink_tries: int = 200,
+         what: str = "consensus") -> Found:
     """Play the schedules of these seeds; ends at the first that breaks a rule, the lowest of those under way, and
     shrinks it in so many tries."""
     found, left = Found(), iter(seeds)
@@ -52,7 +63,7 @@
     with ProcessPoolExecutor(cpu_count()) as pool:
         futures = {}
         for group in groups:
-            futures[pool.submit(_some, group, without, mutation)] = group
+            futures[pool.submit(_some, what, group, without, mutation)] = group
         for future in as_completed(futures):
             if future.cancelled():
                 continue
@@ -68,8 +79,10 @@
                     other.cancel()
     if worst is not None:
         with mutated(mutation) if mutation else nullcontext():
-            fewer, text, found.trace = shrink(worst[0], shrink_tries) if not without else (without, "", [])
-        found.broken = (f"{text or worst[1]}  (replay: mastlift lab check consensus --runs 1 --seed {worst[0]}"
+            fewer, text, found.trace = without, "", []
+            if not without:
+                fewer, text, found.trace = shrink(worst[0], shrink_tries, KINDS[what].make)
+        found.broken = (f"{text or worst[1]}  (replay: mastlift lab check {what} --runs 1 --seed {worst[0]}"
                         + (f" --without {','.join(map(str, sorted(fewer)))}" if fewer else "")
                         + (f" --mutation {mutation})" if mutation else ")"))
     return found
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -32,6 +32,18 @@
     assert found.broken and f"--mutation {name}" in found.broken
 
 
+def test_no_two_holders_act_at_one_true_time_in_drawn_schedules() -> None:
+    found = play(range(32), what="duties")
+    assert not found.broken, (found.broken, found.trace)
+    assert found.seen["actions"] > 10_000 and found.seen["holders in turn"] > 60
+
+
+@pytest.mark.parametrize("name", ["lease-counted-from-answer", "clock-not-asked", "new-leader-ends-leases"])
+def test_a_rule_of_duties_broken_on_purpose_is_found(name: str) -> None:
+    found = play(range(96), mutation=name, shrink_tries=8, what="duties")
+    assert found.broken and "lab check duties --runs 1 --seed" in found.broken
+
+
 def test_one_seed_replays_one_schedule() -> None:
     first, again = Group(5), Group(5)
     first.run()
