Check what a member keeps on the disk model; find the two duty mutations that were missing

Change: crash.History is open for other subjects; membercrash draws a member's records and checks vote, term, log, members and state after every crash and every second crash. Duty schedules draw pauses near the lease's end, and check that no token is given twice.

--- a/mastlift/lab/crash.py
+++ b/mastlift/lab/crash.py
@@ -12,11 +12,12 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import Any, Protocol
 
 import msgspec
 
 from mastlift.durable.disk import DiskFailed, DiskFull
-from mastlift.durable.journal import Journal, open_journal
+from mastlift.durable.journal import Journal, Machine, open_journal
 from mastlift.durable.snapshot import SnapshotWriter
 from mastlift.lab.simdisk import Loss, SimDisk
 from mastlift.store import commands as c
@@ -68,9 +69,22 @@
     return drawn
 
 
+class Subject(Machine, Protocol):
+    """What is crashed: a machine that knows how many commands of its history it has."""
+
+    @property
+    def index(self) -> int: ...
+
+    def apply(self, command: Any) -> object: ...
+
+    def dump(self, block_bytes: int = ...) -> Iterator[bytes]: ...
+
+
 class History:
     """One drawn history and what the store is after each of its commands."""
 
+    commands: list[Any]
+
     def __init__(self, seed: int) -> None:
         self.seed, self.rng = seed, random.Random(seed)
         self.commands = draw_commands(self.rng, COMMANDS)
@@ -80,7 +94,20 @@
             store.apply(command)
             self.states.append(digest(store))
 
-    def check(self, store: Store, acknowledged: int, submitted: int, where: str) -> None:
+    def subject(self) -> Any:
+        """An empty one."""
+        return Store()
+
+    def encode(self, commands: list[Any]) -> bytes:
+        return c.encode(commands)
+
+    def started(self, subject: Any, journal: Journal) -> None:
+        """It was recovered from this journal."""
+
+    def covered(self, subject: Any, index: int) -> None:
+        """A snapshot that was begun at `index` is durable."""
+
+    def check(self, store: Any, acknowledged: int, submitted: int, where: str) -> None:
         """Raises Broken."""
         if not acknowledged <= store.index <= submitted:
             raise Broken(f"{where}: {acknowledged} commands were acknowledged and {submitted} submitted, "
@@ -98,12 +125,16 @@
     rng: random.Random
     acknowledged: int = 0
     submitted: int = 0
-    store: Store = field(default_factory=Store)
+    store: Any = None  # a Subject
     notes: list[str] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        self.store = self.history.subject()
+
     def start(self) -> Journal:
         journal, recovery = open_journal(self.disk, "a", self.store, lambda: LIFE, segment_bytes=SEGMENT_BYTES)
         self.notes = recovery.notes
+        self.history.started(self.store, journal)
         return journal
 
     def work(self, journal: Journal, until: int) -> None:
@@ -116,7 +147,7 @@
             group = self.history.commands[at:at + self.rng.randint(1, 6)]
             self.submitted = at + len(group)
             try:
-                journal.append(len(group), c.encode(group))
+                journal.append(len(group), self.history.encode(group))
             except DiskFull:
                 self.submitted = at
                 self.disk.room += 4000
@@ -136,6 +167,7 @@
                     else:
                         writer.finish()
                         journal.snapshot_done(covered)
+                        self.history.covered(self.store, covered)
                         writer = None
             except DiskFull:
                 if writer is not None:
@@ -228,19 +260,19 @@
     if any("damaged" in note for note in run.notes):
         raise Broken(f"{where}: a crash alone left damage: {run.notes}")
     history.check(run.store, point.acknowledged, point.submitted, where)
-    return run.store.index
+    return int(run.store.index)
 
 
-def check_history(seed: int, tally: Tally, thorough: bool = True) -> None:
+def check_history(seed: int, tally: Tally, thorough: bool = True, draw: Callable[[int], History] = History) -> None:
     """One history through up to three lives. Raises Broken; the seed replays it."""
-    history = History(seed)
+    history = draw(seed)
     rng = random.Random(seed ^ 0x5EED)
     disk = SimDisk(seed)
     if rng.random() < 0.3:
         disk.room = 6000
     for life in range(3):
         disk.syncs, disk.fail_sync_at = 0, rng.randrange(3, 60) if rng.random() < 0.3 else 0
-        until = COMMANDS * (life + 1) // 3
+        until = len(history.commands) * (life + 1) // 3
         points = live(history, disk, rng, until)
         tally.seen["disk full"] += disk.room not in (6000, 1 << 40)
         tally.seen["sync failed"] += 0 < disk.fail_sync_at <= disk.syncs
--- a/mastlift/lab/dutysim.py
+++ b/mastlift/lab/dutysim.py
@@ -152,6 +152,7 @@
     def __init__(self, seed: int, without: frozenset[int] = frozenset()) -> None:
         self.clocks: dict[str, tuple[int, LeaseClock]] = {}
         self.highest = 0
+        self.owners: dict[int, HolderClock] = {}  # each holding has a clock of its own
         self._results: dict[int, c.Result] = {}
         self._referee = Store()
         super().__init__(seed, length_ms=12_000.0, without=without)
@@ -163,7 +164,10 @@
     def _pauses(self, holder: Holder) -> None:
         def pause() -> None:
             if self.now < self.length * self.faults.calm_from:
-                holder.paused_until = self.now + holder.rng.choice((30.0, 200.0, 1000.0, 3000.0)) * holder.rng.random()
+                long = holder.rng.choice((30.0, 200.0, 1000.0, 3000.0)) * holder.rng.random()
+                if holder.rng.random() < 0.4:  # a holder that wakes just as its lease ends is the case worth the time
+                    long = TTL_MS * holder.rng.uniform(0.75, 1.05)
+                holder.paused_until = self.now + long
                 self._pauses(holder)
         self.after(holder.rng.expovariate(1 / 1500.0), pause)
 
@@ -255,6 +259,8 @@
             if other is not holder and other.may_act():
                 raise self.broken(f"{holder.name.decode()} acts with token {holder.token} while {other.name.decode()} "
                                   f"holds with token {other.token}")
+        if self.owners.setdefault(holder.token, holder.clock) is not holder.clock:
+            raise self.broken(f"{holder.name.decode()} acts with token {holder.token}, which was given before")
         if holder.token < self.highest:
             raise self.broken(f"{holder.name.decode()} acts with token {holder.token} after {self.highest} has")
         if holder.token > self.highest:
--- /dev/null
+++ b/mastlift/lab/membercrash.py
@@ -0,0 +1,116 @@
+"""What a group's member keeps (`consensus.kept`), on the disk that loses what was not synced: the histories of `crash`
+with votes, terms, entries that replace others, and snapshots that hold entries behind their state.
+
+After any crash the member is what one of its records had made it, none that was durable is missing: its vote and term,
+the whole log behind the snapshot, who takes part, and a state that has committed entries only.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from mastlift.consensus import kept
+from mastlift.consensus.log import Log
+from mastlift.consensus.messages import Entry, Members
+from mastlift.durable.journal import Journal
+from mastlift.lab.crash import Broken, History, digest, draw_commands
+from mastlift.store import commands as c
+from mastlift.store.machine import Store
+
+RECORDS = 90
+ID, GROUP = "a.0@127.0.0.1:1", "g"
+FIRST = Members((ID, "b.0@127.0.0.1:2", "c.0@127.0.0.1:3"))
+
+
+@dataclass(frozen=True, slots=True)
+class Stands:
+    """What a member is after one of its records."""
+
+    term: int = 0
+    vote: str = ""
+    entries: tuple[Entry, ...] = ()
+    commit: int = 0
+
+
+class MemberSubject(kept.Kept):
+    """A member's disk side with its store, applied as far as `commits` says for each record."""
+
+    def __init__(self, commits: list[int]) -> None:
+        super().__init__(Store())
+        self.commits, self.index = commits, 0
+
+    def reset(self) -> None:
+        self.__init__(self.commits)  # type: ignore[misc]
+
+    def apply(self, record: kept.Record) -> None:
+        self.index += 1
+        self.replay(self.index, 1, kept.ENCODE([record]))
+        while self.store.index < self.commits[self.index]:
+            self.store.apply(c.DECODE_ALL(self.log.entries[self.store.index - self.log.base].data)[0])
+
+    def dump(self, block_bytes: int = 600) -> Iterator[bytes]:
+        return kept.dump(self.id, self.group, self.term, self.vote, self.log, self.store)
+
+
+class MemberHistory(History):
+    """Records of a member as elections and leaders make them, and what it is after each."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed, self.rng = seed, random.Random(seed)
+        rng, drawn = self.rng, iter(draw_commands(self.rng, 4 * RECORDS))
+        self.commands = [kept.Named(ID, GROUP, FIRST)]
+        now = Stands()
+        self.stands, self.bases = [Stands(), now], dict[int, bytes]()
+        while len(self.commands) < RECORDS:
+            if rng.random() < 0.2:
+                term = now.term + rng.randint(0, 2)
+                vote = rng.choice(FIRST.voters) if term > now.term or not now.vote else now.vote
+                record: kept.Record = kept.Saved(term, vote)
+                now = Stands(term, vote, now.entries, now.commit)
+            else:
+                first = len(now.entries) + 1
+                if rng.random() < 0.25:  # a later leader's entries in place of what was not committed
+                    first = rng.randint(now.commit + 1, len(now.entries) + 1)
+                more = tuple(Entry(now.term, c.encode([next(drawn)]),
+                                   Members((*FIRST.voters, f"d.{first}@127.0.0.1:4")) if rng.random() < 0.1 else None)
+                             for _ in range(rng.randint(1, 3)))
+                record = kept.Written(first, more)
+                entries = now.entries[:first - 1] + more
+                now = Stands(now.term, now.vote, entries, rng.randint(now.commit, len(entries)))
+            self.commands.append(record)
+            self.stands.append(now)
+        store = Store()
+        self.bases[0] = digest(store)
+        for index, entry in enumerate(now.entries[:now.commit], 1):
+            store.apply(c.DECODE_ALL(entry.data)[0])
+            self.bases[index] = digest(store)
+
+    def subject(self) -> MemberSubject:
+        return MemberSubject([one.commit for one in self.stands])
+
+    def encode(self, commands: list[kept.Record]) -> bytes:
+        return kept.ENCODE(commands)
+
+    def started(self, subject: MemberSubject, journal: Journal) -> None:
+        subject.index = journal.last
+
+    def covered(self, subject: MemberSubject, index: int) -> None:
+        subject.log.compact(self.stands[index].commit)
+
+    def check(self, subject: MemberSubject, acknowledged: int, submitted: int, where: str) -> None:
+        """Raises Broken."""
+        if not acknowledged <= subject.index <= submitted:
+            raise Broken(f"{where}: {acknowledged} records were durable and {submitted} submitted, "
+                         f"but {subject.index} are there")
+        stands, log = self.stands[subject.index], subject.log
+        if (subject.term, subject.vote) != (stands.term, stands.vote):
+            raise Broken(f"{where}: term and vote are {subject.term}, {subject.vote!r}; {stands.term}, {stands.vote!r} "
+                         f"were made durable by record {subject.index}")
+        if log.base > stands.commit or tuple(log.entries) != stands.entries[log.base:]:
+            raise Broken(f"{where}: the log behind {log.base} is not that of record {subject.index}")
+        if subject.index and log.members() != Log(0, 0, FIRST, list(stands.entries)).members():
+            raise Broken(f"{where}: {log.members()} take part, by the log of record {subject.index} others do")
+        if digest(subject.store) != self.bases[log.base]:
+            raise Broken(f"{where}: the state of the snapshot is not that of entry {log.base}")
--- a/mastlift/lab/mutations.py
+++ b/mastlift/lab/mutations.py
@@ -9,7 +9,7 @@
 
 from msgspec import structs
 
-from mastlift.consensus import core
+from mastlift.consensus import core, kept
 from mastlift.consensus.log import Log
 from mastlift.consensus.messages import AppendReply, Entry, Message, Vote, VoteReply
 from mastlift.durable import frames, journal
@@ -129,17 +129,44 @@
     return Revoke(revoke.lease)
 
 
+def _count_anew(data: bytes) -> Store:
+    """A start that takes the newest key's revision for the store's: what was deleted since is forgotten."""
+    store = _load(data)
+    store.revision = max((entry.changed for entry in store.entries.values()), default=0)
+    return store
+
+
 DUTY_MUTATIONS: dict[str, tuple[Any, str, Any]] = {
     "lease-counted-from-answer": (dutysim.Holder, "renewed", _count_from_answer),
     "clock-not-asked": (clock.HolderClock, "state", _never_ask_the_clock),
     "new-leader-ends-leases": (dutysim.DutyGroup, "_leases", staticmethod(_no_time_again)),
+    "token-reused-after-restart": (groupsim, "load_snapshot", _count_anew),
     "end-despite-renewal": (dutysim.DutyGroup, "ending", _end_whatever_came),
 }
 
 
+_dump = kept.dump
+
+
+def _dump_without_vote(id_: str, group: str, term: int, vote: str, log: Log, store: Store) -> Iterator[bytes]:
+    return _dump(id_, group, term, "", log, store)
+
+
+def _dump_without_tail(id_: str, group: str, term: int, vote: str, log: Log, store: Store) -> Iterator[bytes]:
+    return _dump(id_, group, term, vote, Log(log.base, log.base_term, log.base_members,
+                                             log.entries[:store.index - log.base]), store)
+
+
+MEMBER_MUTATIONS: dict[str, tuple[Any, str, Any]] = {
+    "ack-before-sync": MUTATIONS["ack-before-sync"],
+    "snapshot-without-vote": (kept, "dump", _dump_without_vote),
+    "snapshot-without-tail": (kept, "dump", _dump_without_tail),
+}
+
+
 @contextmanager
 def mutated(name: str) -> Iterator[None]:
     """Within this, the named rule is not kept. Raises KeyError for a name that is not known."""
-    owner, attribute, broken = (MUTATIONS | GROUP_MUTATIONS | DUTY_MUTATIONS)[name]
+    owner, attribute, broken = (MUTATIONS | GROUP_MUTATIONS | DUTY_MUTATIONS | MEMBER_MUTATIONS)[name]
     with mock.patch.object(owner, attribute, broken):
         yield
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -20,7 +20,8 @@
 from mastlift.durable.snapshot import SnapshotReader, snapshot_index
 from mastlift.lab.crash import COMMANDS, LIFE, SEGMENT_BYTES, Broken, History, Run, Tally, check_history, digest
 from mastlift.lab.damage import check_damage, settled
-from mastlift.lab.mutations import MUTATIONS, mutated
+from mastlift.lab.membercrash import MemberHistory
+from mastlift.lab.mutations import MEMBER_MUTATIONS, MUTATIONS, mutated
 from mastlift.lab.simdisk import Loss, SimDisk
 from mastlift.store.machine import Store
 
@@ -36,6 +37,20 @@
     assert all(what in met for what in ("torn tail cut", "unfinished file", "disk full", "sync failed"))
 
 
+def test_a_member_of_a_group_keeps_its_vote_its_log_and_who_takes_part_through_any_crash() -> None:
+    tally = Tally()
+    for seed in range(2):
+        check_history(seed, tally, thorough=False, draw=MemberHistory)
+    assert tally.crash_points > 300 and tally.second_crashes > 300
+
+
+@pytest.mark.parametrize("name", MEMBER_MUTATIONS)
+def test_a_rule_of_members_broken_on_purpose_is_found(name: str) -> None:
+    with mutated(name), pytest.raises(Broken):
+        for seed in SEEDS:
+            check_history(seed, Tally(), draw=MemberHistory)
+
+
 def test_damage_is_named_and_never_served() -> None:
     seen = sum((check_damage(seed, flips=8) for seed in SEEDS), Counter[str]())
     for what in ("flipped bit", "zeroed sector", "frame of older life", "frame of another keeper",
