Answer linearizable reads at every member; refuse a member's past; back up a group

Change: a follower asks the leader for the index that a read must wait for, one question for all who come meanwhile (rounds.py, also used by the leader's own rounds). The leader notes in the store what each member had of the log; a member with less than any other remembers does not start, nor does a folder whose lock file has another inode. Not taken: reads by a leader's lease (clocks may differ by 1%, a process may be paused after it looked).

--- a/mastlift/cli.py
+++ b/mastlift/cli.py
@@ -226,6 +226,33 @@
     _change_group("hand-over", name, keepers, within, json)
 
 
+@group_app.command("backup")
+@plainly
+def group_backup(to: Annotated[Path, typer.Option(help="The file to write; it must not exist.")],
+                 keepers: Keepers = DEFAULT_KEEPER, within: Seconds = 10.0, json: Json = False) -> None:
+    """Copy the group's state at one revision to one file, from whichever keeper answers, while it serves."""
+    from mastlift.durable.frames import FORMAT
+    from mastlift.durable.snapshot import SnapshotHead, SnapshotWriter
+
+    if to.exists():
+        fail(BAD_CALL, f"{to} exists already: name a new file")
+    disk, writers = _folder(to.resolve().parent), list[SnapshotWriter]()
+
+    def begin(index: int, life: str) -> Callable[[bytes], None]:
+        writers.append(SnapshotWriter(disk, SnapshotHead(FORMAT, bytes.fromhex(life), index, 0), to.name))
+        return writers[0].write
+
+    try:
+        revision = with_keeper(keepers, within, lambda client: client.backup(begin))
+        writers[0].finish()
+    except BaseException:
+        for writer in writers:
+            writer.abandon()
+        raise
+    told = {"revision": revision, "bytes": to.stat().st_size}
+    show(told) if json else typer.echo(f"the state at revision {revision} is in {to} ({told['bytes']} bytes)")
+
+
 def _folder(path: Path) -> Any:
     from mastlift.durable.disk import RealDisk
     return RealDisk(path)
@@ -292,8 +319,8 @@
     from mastlift.store.machine import Store
 
     if of_a_group(_folder(folder)):
-        fail(BAD_CALL, f"{folder} is a group member's: what of its log is committed only the group knows; "
-                       "the other members are its copies")
+        fail(BAD_CALL, f"{folder} is a group member's: what of its log is committed only the group knows; ask it "
+                       f"instead: mastlift group backup --to {to}")
     if to.exists():
         fail(BAD_CALL, f"{to} exists already: name a new file")
     store = Store()
@@ -306,20 +333,45 @@
 
 @state_app.command("restore")
 @plainly
-def state_restore(folder: Folder, source: Annotated[Path, typer.Option("--from", help="A file of `state backup`.")],
+def state_restore(folder: Folder,
+                  source: Annotated[Path, typer.Option("--from", help="A file of `state backup` or `group backup`.")],
                   name: Annotated[str, typer.Option(help="The keeper's name, as in its settings.")],
+                  group: Annotated[Path | None, typer.Option(
+                      help="Settings with a [group]: begin it anew with this keeper. Start the others with empty "
+                           "folders and without --new-group; they are taken in.")] = None,
                   json: Json = False) -> None:
     """Make an empty folder a keeper's from a backup. It gets a new life: watchers read the whole again."""
     import os
+    from collections.abc import Iterator
 
+    from mastlift.consensus.kept import begun_from
     from mastlift.durable.archive import restore
     from mastlift.durable.frames import LIFE_SIZE
+    from mastlift.durable.snapshot import SnapshotReader
+    from mastlift.keeper.config import Settings
+    from mastlift.settings import load
+    from mastlift.store.commands import Entry
+    from mastlift.store.machine import LIFE_KEY, entry_block
 
     if not source.is_file():
         fail(BAD_CALL, f"{source}: there is no such file")
+    section = load(group, Settings).group if group else None
+    if group and (section is None or name not in section.members):
+        fail(BAD_CALL, f"{group}: its [group] does not name the member '{name}'")
+    life, shelf = os.urandom(LIFE_SIZE), _folder(source.resolve().parent)
+    index = SnapshotReader(shelf, source.name).head.index
+
+    def change(blocks: Iterator[bytes]) -> Iterator[bytes]:
+        def renewed() -> Iterator[bytes]:
+            yield from blocks
+            yield entry_block(LIFE_KEY, Entry(life.hex().encode(), 1, 1, 1))
+        if section is None:
+            return renewed()
+        return begun_from(renewed(), f"{name}.{life.hex()[:8]}@{section.members[name]}", section.name, index)
+
     folder.mkdir(parents=True, exist_ok=True)
-    head = restore(_folder(source.resolve().parent), source.name, _folder(folder), name, os.urandom(LIFE_SIZE))
-    told = {"index": head.index, "from_life": head.life.hex(), "name": name}
+    head = restore(shelf, source.name, _folder(folder), name, life, change)
+    told = {"index": head.index, "from_life": head.life.hex(), "life": life.hex(), "name": name}
     show(told) if json else typer.echo(f"{folder} is the keeper {name}'s, up to entry {head.index} of {source}")
 
 
@@ -328,25 +380,28 @@
 def bench(name: Annotated[str, typer.Argument(help="durable or consensus")],
           quick: Annotated[bool, typer.Option("--quick", help="Within 50 s on 8 cores.")] = False,
           json: Annotated[Path | None, typer.Option(help="Write the figures to this file, one flat object.")] = None,
-          ) -> None:
+          report: Annotated[Path | None, typer.Option(help="Draw plots into this folder, PNG.")] = None) -> None:
     """Measure a part against a baseline in the same run. Ratios; an absolute time alone says little."""
     from rich.console import Console
     from rich.table import Table
 
     from mastlift.lab import benches
+    from mastlift.lab.plots import Report
 
     if name not in benches.NAMES:
         fail(BAD_CALL, f"there is no bench '{name}'; there are: {', '.join(benches.NAMES)}")
     start_logging(LogForm.JSON)
-    console = Console(stderr=True)
+    console, drawn = Console(stderr=True), Report(report)
     with console.status("") as status:
-        figures = benches.load(name)(quick, lambda step: status.update(f"{name}: {step}"))
+        figures = benches.load(name)(quick, lambda step: status.update(f"{name}: {step}"), drawn)
     if json is not None:
         json.write_bytes(msgspec.json.format(msgspec.json.encode(figures)) + b"\n")
     table = Table("figure", "value", box=None)
     for figure, value in figures.items():
         table.add_row(figure, f"{value:,.3f}" if isinstance(value, float) else str(value))
     Console().print(table)
+    for file in drawn.files:
+        typer.echo(f"drawn: {file}")
 
 
 def main() -> None:
--- a/mastlift/consensus/driver.py
+++ b/mastlift/consensus/driver.py
@@ -18,6 +18,7 @@
 from mastlift.consensus import core as r
 from mastlift.consensus import kept
 from mastlift.consensus.messages import Append, Entry, Members, Message, Piece
+from mastlift.consensus.rounds import Rounds
 from mastlift.durable.commit import GroupCommit
 from mastlift.durable.disk import DiskFailed, DiskFull
 from mastlift.durable.journal import Journal
@@ -25,6 +26,7 @@
 from mastlift.logs import get_logger
 
 TICK_S = 0.01
+APPLY_S = 2.0
 PIECE = 256 << 10  # bytes
 _ENCODE = msgspec.msgpack.Encoder().encode
 
@@ -48,12 +50,6 @@
     def index(self) -> int: ...
 
 
-def _seen_to(future: asyncio.Future[int]) -> None:
-    """Those who wait for it are told; that nobody does is no error."""
-    if not future.cancelled():
-        future.exception()
-
-
 def _no_task() -> asyncio.Task[None] | None:
     return None
 
@@ -89,9 +85,8 @@
         self._proposed: list[tuple[bytes, asyncio.Future[Any]]] = []
         self._waiting: dict[int, tuple[int, asyncio.Future[Any]]] = {}
         self._reads: dict[int, asyncio.Future[int]] = {}
-        self._next_read: asyncio.Future[int] | None = None
         self._read_after: list[tuple[int, asyncio.Future[None]]] = []
-        self._tokens = 0
+        self._tokens, self._rounds = 0, Rounds(self._one_read)
         self._incoming = bytearray()
         self._arrived: r.StorePiece | None = None
         self._blob: tuple[int, bytes] = (0, b"")
@@ -145,42 +140,42 @@
         self.do(actions)
 
     async def read_barrier(self) -> None:
-        """Return once all that was acknowledged before this call is applied here. Raises NotLeader, Outdated.
+        """Return once all that was acknowledged before this call is applied here. Raises NotLeader, Outdated."""
+        await self.wait_applied(await self.read_index())
+
+    async def read_index(self) -> int:
+        """What is to be applied before a read that began now is answered. Raises NotLeader, Outdated.
 
         Reads that come while a round to the peers is under way share the next one."""
         if not self.leads:
             raise r.NotLeader(self.core.leader)
-        loop = asyncio.get_running_loop()
-        if self._next_read is None:
-            self._next_read = loop.create_future()
-            if not self._reads:
-                loop.call_soon(self._begin_read)
-        index = await asyncio.shield(self._next_read)
+        return await self._rounds.get()
+
+    async def wait_applied(self, index: int) -> None:
+        """Raises Outdated where this member does not come there in APPLY_S."""
         if self.replica.index < index:
-            applied: asyncio.Future[None] = loop.create_future()
+            applied: asyncio.Future[None] = asyncio.get_running_loop().create_future()
             self._read_after.append((index, applied))
-            await applied
+            try:
+                await asyncio.wait_for(applied, APPLY_S)
+            except TimeoutError:
+                raise Outdated("this member is behind the others") from None
 
-    def _begin_read(self) -> None:
-        future, self._next_read = self._next_read, None
-        if future is None:
-            return
+    async def _one_read(self) -> int:
         self._tokens += 1
+        future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         self._reads[self._tokens] = future
-        try:
-            self.do(self.core.read(self._tokens, now_ms()))
-        except r.NotLeader as error:
-            self._end_read(self._tokens, error)
+        self.do(self.core.read(self._tokens, now_ms()))
+        return await future
 
     def _end_read(self, token: int, what: int | Exception) -> None:
         future = self._reads.pop(token)
-        future.add_done_callback(_seen_to)
+        if future.done():
+            return
         if isinstance(what, int):
             future.set_result(what)
         else:
             future.set_exception(what)
-        if self._next_read is not None and not self._reads:
-            self._begin_read()
 
     def change(self, change: Callable[[Members], Members]) -> None:
         """Raises NotLeader, NotNow."""
@@ -226,6 +221,7 @@
                             break
                         await asyncio.sleep(0.01)
         self._task.cancel()
+        self._rounds.close()
         await self._commit.stop()
 
     # --- what the core says ---
@@ -234,6 +230,8 @@
         while True:
             await asyncio.sleep(TICK_S)
             self.do(self.core.tick(now_ms()))
+            if self._read_after:  # also a snapshot from the leader brings them on
+                self._wake_readers()
 
     def do(self, actions: list[r.Action]) -> None:
         for action in actions:
@@ -296,11 +294,14 @@
                     future.set_result(result)
                 else:
                     future.set_exception(Outdated("another leader's command stands there"))
-        if self._read_after:
-            for wanted, applied in self._read_after:
-                if wanted <= until and not applied.done():
-                    applied.set_result(None)
-            self._read_after = [(wanted, applied) for wanted, applied in self._read_after if wanted > until]
+        self._wake_readers()
+
+    def _wake_readers(self) -> None:
+        index, waiting = self.replica.index, self._read_after
+        self._read_after = [one for one in waiting if one[0] > index]
+        for wanted, applied in waiting:
+            if wanted <= index and not applied.done():
+                applied.set_result(None)
 
     def _changed(self, change: r.RoleChanged) -> None:
         self.log.info("role", role=change.role.value, term=change.term, leader=change.leader, id=self.core.id)
--- a/mastlift/consensus/kept.py
+++ b/mastlift/consensus/kept.py
@@ -115,6 +115,13 @@
     return encoded()
 
 
+def begun_from(blocks: Iterator[bytes], id_: str, group: str, index: int) -> Iterator[bytes]:
+    """The blocks of a snapshot with which a group begins anew: this member alone votes, and others are taken in."""
+    yield HEAD + ENCODE(_Head(id_, group, 1, "", index, 1, Members((id_,)), ()))
+    for block in blocks:
+        yield STATE + block
+
+
 class _Look(Kept):
     """Notes whether records of a group stand in a folder, and reads no further than it must."""
 
--- a/mastlift/durable/archive.py
+++ b/mastlift/durable/archive.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from mastlift.durable.disk import TEMPORARY, Disk
@@ -52,16 +52,22 @@
     return identity, recovery
 
 
-def restore(source: Disk, name: str, target: Disk, keeper: str, life: bytes) -> SnapshotHead:
+def _unchanged(blocks: Iterator[bytes]) -> Iterator[bytes]:
+    return blocks
+
+
+def restore(source: Disk, name: str, target: Disk, keeper: str, life: bytes,
+            change: Callable[[Iterator[bytes]], Iterator[bytes]] = _unchanged) -> SnapshotHead:
     """Make an empty folder the keeper's from a backup. The identity comes last: a restore that was broken off leaves
-    no folder that could be started. Raises NotEmpty, Unreadable, NewerFormat, DiskFull."""
+    no folder that could be started. `change` may add to the blocks.
+    Raises NotEmpty, Unreadable, NewerFormat, DiskFull."""
     if any(not name.endswith(TEMPORARY) for name in target.names()):
         raise NotEmpty("the folder is not empty; name a new one")
     for _ in SnapshotReader(source, name).blocks():
         pass  # read it whole before anything is made
     reader = SnapshotReader(source, name)
     writer = SnapshotWriter(target, SnapshotHead(FORMAT, life, reader.head.index, reader.head.term))
-    for block in reader.blocks():
+    for block in change(reader.blocks()):
         writer.write(block)
     writer.finish()
     make_folder(target, keeper, life, first=reader.head.index + 1)
--- a/mastlift/durable/disk.py
+++ b/mastlift/durable/disk.py
@@ -105,18 +105,23 @@
         self.folder = folder
         self._dir = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
         self._lock: int | None = None
+        self.copied = False
 
     def lock(self) -> None:
-        """Hold the folder for this process; the kernel lets go with the process. Raises Busy."""
+        """Hold the folder for this process; the kernel lets go with the process. Raises Busy. `copied` then says
+        whether the folder was last held under another inode: a copy's files have new ones."""
         fd = os.open("lock", os.O_RDWR | os.O_CREAT, 0o644, dir_fd=self._dir)
+        written = os.read(fd, 60).decode("ascii", "replace").split()
         try:
             fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
-            holder = os.read(fd, 20).decode("ascii", "replace").strip()
             os.close(fd)
-            raise Busy(f"{self.folder} is in use by process {holder or '(unknown)'}") from error
-        os.ftruncate(fd, 0)
-        os.write(fd, b"%d\n" % os.getpid())
+            raise Busy(f"{self.folder} is in use by process {written[0] if written else '(unknown)'}") from error
+        inode = str(os.fstat(fd).st_ino)
+        self.copied = len(written) > 1 and written[1] != inode  # an older program wrote the process alone
+        if not self.copied:
+            os.ftruncate(fd, 0)
+            os.pwrite(fd, f"{os.getpid()} {inode}\n".encode(), 0)
         self._lock = fd
 
     def names(self) -> list[str]:
--- a/mastlift/keeper/grouped.py
+++ b/mastlift/keeper/grouped.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import uuid
 from collections.abc import Callable, Iterator
 
 import aiohttp
@@ -18,21 +19,35 @@
 from mastlift.consensus import kept
 from mastlift.consensus.driver import Member, now_ms
 from mastlift.consensus.messages import Members
+from mastlift.consensus.rounds import Rounds
 from mastlift.durable.disk import DiskFailed
 from mastlift.durable.journal import Journal
+from mastlift.keeper.client import ask_each
 from mastlift.keeper.config import GroupSection
 from mastlift.keeper.order import Apply
 from mastlift.keeper.peers import DECODE, PEER_FORMAT, Batch, Peers, name_of
 from mastlift.logs import get_logger
 from mastlift.store import commands as c
+from mastlift.store.machine import LIFE_KEY
 
 HELLO_S = 0.3
 ADMIT_S = 0.2
 HEARD = "mastlift/heard/"
+SILENT_MS, NOTE_MS = 1000.0, 30_000.0
+ASK_S = 1.0
 GONE_MS = 3000.0  # a member of the same name is replaced only after so long a silence
 _DECODE = msgspec.msgpack.Decoder(c.Envelope).decode
 
 
+class Told(msgspec.Struct, frozen=True):
+    """What is read of another member's status. `heard` has, by id, the highest term and entry that is known of it."""
+
+    leader: str = ""
+    group: str = ""
+    voters: tuple[str, ...] = ()
+    heard: dict[str, tuple[int, int]] | tuple[str, ...] = {}  # only the ids, from an older program
+
+
 class Refused(Exception):
     """What a peer sent is not for this member; the text names both sides."""
 
@@ -52,20 +67,34 @@
         future.exception()
 
 
+async def _ask_others(group: GroupSection, name: str) -> dict[str, dict[str, object]]:
+    """What the other members that answer say of the group, by name."""
+    addresses = {address: other for other, address in group.members.items() if other != name}
+    told = await ask_each(list(addresses), "/v1/group", ASK_S)
+    return {addresses[address]: one for address, one in told.items() if "error" not in one}
+
+
 async def must_be_new(group: GroupSection, name: str) -> None:
     """Before a folder begins a group: raises Refused where a member knows that this one had a log already."""
     id_ = f"{name}.0@{group.members[name]}"
-    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(1.0)) as http:
-        for other, address in group.members.items():
-            if other == name:
-                continue
-            with contextlib.suppress(aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
-                async with http.get(f"http://{address}/v1/group") as response:
-                    told = msgspec.json.decode(await response.read())
-                    if id_ in (told.get("leader"), *told.get("heard", ())) or (
-                            told.get("group") == group.name and told.get("voters") and id_ not in told["voters"]):
-                        raise Refused(f"the group '{group.name}' lives already (asked {other}): start {name} without "
-                                      "--new-group, and it will be taken in")
+    for other, told in (await _ask_others(group, name)).items():
+        status = msgspec.convert(told, Told)
+        if id_ == status.leader or id_ in status.heard or (
+                status.group == group.name and status.voters and id_ not in status.voters):
+            raise Refused(f"the group '{group.name}' lives already (asked {other}): start {name} without "
+                          "--new-group, and it will be taken in")
+
+
+async def must_not_be_the_past(group: GroupSection, name: str, state: kept.Kept) -> None:
+    """Before a member takes part: raises Refused where another one remembers more of its log than it has itself, as
+    after a restored backup of its folder. It would vote again on what it voted on."""
+    for other, told in (await _ask_others(group, name)).items():
+        heard = msgspec.convert(told, Told).heard
+        term, match = heard.get(state.id, (0, 0)) if isinstance(heard, dict) else (0, 0)
+        if term > state.term or match > state.log.last:
+            raise Refused(f"the folder is older than what this member had: term {state.term} and entry "
+                          f"{state.log.last}, where {other} remembers {term} and {match}. A member must not vote with "
+                          "the past: empty the folder and start it (without --new-group), and it will be taken in")
 
 
 class Grouped:
@@ -79,6 +108,8 @@
         self.peers = Peers(state.id, state.group)
         self.member = Member(journal, state, self, self.peers, failed, self._role, snapshot_now)
         self.hellos: dict[str, str] = {}
+        self._noted: dict[str, float] = {}
+        self._rounds = Rounds(self._ask_leader)
         self._tasks = [asyncio.create_task(self._say_hello()), asyncio.create_task(self._admit())]
 
     # --- Order ---
@@ -94,7 +125,24 @@
         return self.member.waiting()
 
     async def read_barrier(self) -> None:
-        await self.member.read_barrier()
+        """Raises NotLeader: here the leader is not known, or does not answer."""
+        if self.leads:
+            await self.member.read_barrier()
+        else:
+            await self.member.wait_applied(await self._rounds.get())
+
+    async def read_index(self, group: str) -> int:
+        """For a member that answers a read itself. Raises Refused, NotLeader, Outdated."""
+        if group != self.state.group:
+            raise Refused(f"this keeper is of the group '{self.state.group}', not of '{group}'")
+        return await self.member.read_index()
+
+    async def _ask_leader(self) -> int:
+        leader = self.member.core.leader
+        index = await self.peers.read_index(leader) if leader else None
+        if index is None:
+            raise r.NotLeader("")
+        return index
 
     def position(self) -> int:
         return self.member.records
@@ -112,6 +160,7 @@
     async def stop(self) -> None:
         for task in self._tasks:
             task.cancel()
+        self._rounds.close()
         await self.member.stop()
         await self.peers.close()
 
@@ -181,12 +230,36 @@
                 self.hellos.clear()
 
     def _note_heard(self) -> None:
-        """Keep for good who had a part of the log: its folder must never begin the group again."""
-        core = self.member.core
-        heard = [core.id, *(id_ for id_, progress in core.peers.items() if progress.match)]
-        for id_ in heard:
-            if HEARD + id_ not in self.state.store.entries and core.log.term(core.commit) == core.term:
-                self.member.propose(c.ENCODE(c.Envelope(c.Put(HEARD + id_, b"", 0, 0)))).add_done_callback(_seen_to)
+        """Keep for good what members had of the log: none may come back with less. Noted when a member is new, when it
+        falls silent, and now and then; the leader's own term at once."""
+        core, now = self.member.core, now_ms()
+        if core.log.term(core.commit) != core.term:
+            return
+        if LIFE_KEY not in self.state.store.entries:
+            self._put(LIFE_KEY, uuid.uuid4().hex.encode(), 0)
+        heard = self.heard()
+        for id_, progress in core.peers.items():
+            term, match = heard.get(id_, (0, 0))
+            silent = now - progress.heard > SILENT_MS
+            if progress.match > match and (not match or silent or now - self._noted.get(id_, 0.0) > NOTE_MS):
+                self._note(id_, max(term, core.term), progress.match, now)
+        if heard.get(core.id, (0, 0))[0] < core.term:
+            self._note(core.id, core.term, core.synced_to, now)
+
+    def _note(self, id_: str, term: int, match: int, now: float) -> None:
+        self._noted[id_] = now
+        self._put(HEARD + id_, b"%d %d" % (term, match))
+
+    def _put(self, key: str, value: bytes, if_revision: int = -1) -> None:
+        put = c.Put(key, value, 0, if_revision)
+        with contextlib.suppress(r.NotLeader, r.NotNow):
+            self.member.propose(c.ENCODE(c.Envelope(put))).add_done_callback(_seen_to)
+
+    def heard(self) -> dict[str, tuple[int, int]]:
+        """By id, the highest term and entry that are noted; zeros where an older program noted the id alone."""
+        entries = self.state.store.entries
+        noted = {key.removeprefix(HEARD): entries[key].value.split() for key in self.state.store.keys(HEARD)}
+        return {id_: (int(value[0]), int(value[1])) if value else (0, 0) for id_, value in noted.items()}
 
     def _step(self, id_: str) -> None:
         core, name = self.member.core, name_of(id_)
@@ -227,7 +300,7 @@
         members = core.members
         return {"group": self.state.group, "id": core.id, "role": core.role.value, "term": core.term,
                 "leader": core.leader, "commit": core.commit, "applied": self.index, "last": core.log.last,
-                "heard": [key.removeprefix(HEARD) for key in self.state.store.keys(HEARD)],
+                "heard": self.heard(),
                 "voters": list(members.voters), "learners": list(members.learners),
                 "match": {id_: progress.match for id_, progress in core.peers.items()},
                 "lag": {id_: core.log.last - progress.match for id_, progress in core.peers.items()},
--- a/mastlift/keeper/http.py
+++ b/mastlift/keeper/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import time
 from collections.abc import Awaitable, Callable, Iterator
@@ -17,16 +18,15 @@
 from mastlift.durable.disk import DiskFull
 from mastlift.keeper import wire
 from mastlift.keeper.grouped import Grouped, Refused
-from mastlift.keeper.peers import PATH, address_of
+from mastlift.keeper.peers import PATH, READ_INDEX, address_of
 from mastlift.keeper.service import Service, Stopping, TooMany
-from mastlift.keeper.wire import BadCall
+from mastlift.keeper.wire import INDEX, LIFE, NUMBER, RECEIVED, SESSION, BadCall
 from mastlift.metrics import Metrics
 from mastlift.store import commands as c
 from mastlift.store.history import Change, Compacted
 
-SESSION, NUMBER, RECEIVED = "Mastlift-Session", "Mastlift-Command", "Mastlift-Received"
 FORWARDED = "Mastlift-Forwarded"
-FORWARD_S = 5.0
+FORWARD_S = 2.0
 PROGRESS_S = 5.0  # a watch with no changes is told the revision so often
 LINES_AT_ONCE = 500
 ENCODE = msgspec.json.Encoder().encode
@@ -65,9 +65,12 @@
                 ("POST", "/v1/txn", self.txn), ("POST", "/v1/sessions", self.open_session),
                 ("POST", "/v1/leases", self.grant), ("GET", "/v1/leases", self.list_leases),
                 ("GET", "/v1/leases/{lease}", self.show_lease),
+                ("POST", "/v1/renew", self.renew_all),
                 ("POST", "/v1/leases/{lease}/renew", self.renew), ("DELETE", "/v1/leases/{lease}", self.revoke),
-                ("GET", "/v1/changes", self.changes), ("GET", "/up", self.up), ("GET", "/metrics", self.show_metrics),
-                ("GET", "/v1/status", self.status), ("POST", PATH, self.peer), ("GET", "/v1/group", self.group_status),
+                ("GET", "/v1/changes", self.changes), ("GET", "/v1/backup", self.backup),
+                ("GET", "/up", self.up), ("GET", "/metrics", self.show_metrics),
+                ("GET", "/v1/status", self.status), ("POST", PATH, self.peer), ("GET", READ_INDEX, self.read_index),
+                ("GET", "/v1/group", self.group_status),
                 ("POST", "/v1/group", self.change_group), ("POST", "/v1/group/hello", self.hello)):
             add(method, path, self._guarded(handler))
         return application
@@ -139,6 +142,9 @@
             raise BadCall("body", str(error)) from error
         return web.Response()
 
+    async def read_index(self, request: web.Request) -> web.Response:
+        return web.Response(text=str(await self._group().read_index(request.query.get("group", ""))))
+
     async def group_status(self, request: web.Request) -> web.Response:
         return answer(200, {"revision": self.store.revision, **self._group().status()})
 
@@ -250,7 +256,7 @@
                 more = True
                 break
             found.append(wire.entry_json(key, self.store.entries[key]))
-        return answer(200, {"revision": self.store.revision, "life": self.service.journal.identity.life,
+        return answer(200, {"revision": self.store.revision, "life": self.service.life,
                             "entries": found, "more": more})
 
     async def txn(self, request: web.Request) -> web.Response:
@@ -286,6 +292,14 @@
         result = await self._run(request, c.Renew(lease), 0)
         return self._told(result, lease=lease, ttl_ms=result.number)
 
+    async def renew_all(self, request: web.Request) -> web.Response:
+        """Many leases in one call; `gone` are those that don't exist. Repeated freely: it only gives them time."""
+        call = wire.decode(await request.read(), wire.RenewCall)
+        results = await asyncio.gather(*(self.service.propose(c.Envelope(c.Renew(lease)), 64) for lease in call.leases))
+        gone = [lease for lease, result in zip(call.leases, results, strict=True)
+                if result.outcome is c.Outcome.NO_LEASE]
+        return answer(200, {"revision": self.store.revision, "gone": gone})
+
     async def revoke(self, request: web.Request) -> web.Response:
         lease = self._lease(request)
         result = await self._run(request, c.Revoke(lease), 0)
@@ -313,7 +327,7 @@
         prefix = request.query.get("prefix", "")
         after = self._number(request.query.get("after"), "after", self.store.revision)
         if after > self.store.revision:
-            return self._refusal(409, "ahead", f"this keeper (life {self.service.journal.identity.life}) has not come "
+            return self._refusal(409, "ahead", f"this keeper (life {self.service.life}) has not come "
                                                f"to revision {after}: read the whole", field="after")
         try:
             self.service.changes(after)
@@ -327,7 +341,7 @@
         try:
             await response.prepare(request)
             await response.write(ENCODE(
-                {"revision": after, "life": self.service.journal.identity.life}) + b"\n")
+                {"revision": after, "life": self.service.life}) + b"\n")
             with contextlib.suppress(ConnectionError):
                 await self._follow(response, after, prefix)
         finally:
@@ -368,6 +382,20 @@
             lines.append(ENCODE({"revision": after, "changes": group}))
         return after, b"".join(line + b"\n" for line in lines)
 
+    async def backup(self, request: web.Request) -> web.StreamResponse:
+        """The whole state at one point of the order, as blocks, each with its length before it; 0 at the end."""
+        await self._barrier()
+        blocks = self.store.dump()
+        response = web.StreamResponse(headers={
+            "Content-Type": "application/octet-stream", INDEX: str(self.store.index), LIFE: self.service.life,
+            "Mastlift-Revision": str(self.store.revision)})
+        await response.prepare(request)
+        for block in blocks:
+            if block:
+                await response.write(len(block).to_bytes(4, "big") + block)
+        await response.write(bytes(4))
+        return response
+
     # --- about this keeper ---
 
     async def up(self, request: web.Request) -> web.Response:
@@ -381,7 +409,7 @@
     async def status(self, request: web.Request) -> web.Response:
         service, recovery = self.service, self.service.recovery
         return answer(200, {
-            "name": service.settings.keeper.name, "life": service.journal.identity.life,
+            "name": service.settings.keeper.name, "life": service.life,
             "format": service.journal.identity.format, "revision": self.store.revision, "index": self.store.index,
             "keys": len(self.store.entries), "leases": len(self.store.leases),
             "sessions": len(self.store.sessions.by_id), "snapshots": service.journal.snapshots(),
--- a/mastlift/keeper/peers.py
+++ b/mastlift/keeper/peers.py
@@ -16,6 +16,7 @@
 
 PEER_FORMAT = 1
 PATH = "/peer"
+READ_INDEX = "/peer/read-index"
 FROM = "Mastlift-From"  # for whoever looks at connections from outside; the body says the same
 MOST_QUEUED = 256
 SILENT_S = 1.0
@@ -90,6 +91,14 @@
             except (aiohttp.ClientError, TimeoutError):
                 await asyncio.sleep(PAUSE_S)
 
+    async def read_index(self, leader: str) -> int | None:
+        """What the leader says must be applied before a read is answered here; None where it says nothing."""
+        try:
+            async with self._http.get(f"http://{address_of(leader)}{READ_INDEX}", params={"group": self.group}) as told:
+                return int(await told.read()) if told.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return None
+
     def forget(self, ids: set[str]) -> None:
         """Those that are no members any more."""
         for gone in self._peers.keys() & ids:
--- a/mastlift/keeper/process.py
+++ b/mastlift/keeper/process.py
@@ -19,7 +19,7 @@
 from mastlift.durable.frames import LIFE_SIZE
 from mastlift.durable.journal import Layout, never_used
 from mastlift.keeper.config import Settings
-from mastlift.keeper.grouped import Refused, must_be_new
+from mastlift.keeper.grouped import Refused, must_be_new, must_not_be_the_past
 from mastlift.keeper.http import Calls
 from mastlift.keeper.service import Service
 from mastlift.logs import get_logger
@@ -45,6 +45,10 @@
         disk.lock()
     except OSError as error:
         raise BadSettings(f"keeper.data: {folder}: {error.strerror}") from error
+    if settings.group and disk.copied:
+        raise BadSettings(f"keeper.data: {folder} is a copy of a member's folder, or was restored from one: a member "
+                          "must not vote with the past. Empty it and start (without --new-group), and the group takes "
+                          "it in")
     return disk
 
 
@@ -67,6 +71,11 @@
         except Refused as error:
             raise BadSettings(str(error)) from error
     service = Service(settings, disk, metrics, lambda: os.urandom(LIFE_SIZE), _end_now, new_group)
+    if settings.group and service.kept is not None:
+        try:
+            await must_not_be_the_past(settings.group, settings.keeper.name, service.kept)
+        except Refused as error:
+            raise BadSettings(str(error)) from error
     gc.collect()
     gc.freeze()  # what was recovered lives on: looking through it again and again is a pause for every caller
     for note in service.recovery.notes:
--- a/mastlift/keeper/service.py
+++ b/mastlift/keeper/service.py
@@ -22,7 +22,7 @@
 from mastlift.store import commands as c
 from mastlift.store.history import Change, History
 from mastlift.store.leases import LeaseClock
-from mastlift.store.machine import Store
+from mastlift.store.machine import LIFE_KEY, Store
 
 TICK_S = 0.05
 MB = 1 << 20
@@ -126,6 +126,12 @@
             await self.order.stop()
         self._snapshot_thread.shutdown()
 
+    @property
+    def life(self) -> str:
+        """Of the history that is served: the same at all members of a group, another one after a restored backup."""
+        entry = self.store.entries.get(LIFE_KEY)
+        return entry.value.decode() if entry else self.journal.identity.life
+
     # --- commands ---
 
     async def propose(self, envelope: c.Envelope, size: int) -> c.Result:
--- a/mastlift/keeper/wire.py
+++ b/mastlift/keeper/wire.py
@@ -15,6 +15,9 @@
 from mastlift.store.history import Change
 
 MOST_OPERATIONS = 1024
+MOST_RENEWALS = 1000  # in one call
+SESSION, NUMBER, RECEIVED = "Mastlift-Session", "Mastlift-Command", "Mastlift-Received"
+INDEX, LIFE = "Mastlift-Index", "Mastlift-Life"
 
 
 class BadCall(Exception):
@@ -78,6 +81,10 @@
     ttl_ms: Annotated[int, msgspec.Meta(ge=100, le=c.LONGEST_TTL_MS)]
 
 
+class RenewCall(_Call, frozen=True):
+    leases: Annotated[list[Number], msgspec.Meta(max_length=MOST_RENEWALS)]
+
+
 class HelloCall(_Call, frozen=True):
     group: str
     id: str
--- a/mastlift/lab/benches/load.py
+++ b/mastlift/lab/benches/load.py
@@ -68,10 +68,12 @@
     return done
 
 
-async def drive(address: str, clients: int, begin: float, seconds: float, name: str, kind: str) -> int:
-    """So many clients from `begin` (Unix seconds) on."""
+async def drive(addresses: str, clients: int, begin: float, seconds: float, name: str, kind: str) -> int:
+    """So many clients from `begin` (Unix seconds) on, spread over the addresses (several by commas)."""
     await asyncio.sleep(max(0.0, begin - time.time()))
-    return sum(await asyncio.gather(*(_client(address, kind, f"{name}/{i}", begin + seconds) for i in range(clients))))
+    each = addresses.split(",")
+    return sum(await asyncio.gather(*(_client(each[i % len(each)], kind, f"{name}/{i}", begin + seconds)
+                                      for i in range(clients))))
 
 
 def rate(address: str, clients: int, seconds: float, kind: str = "put") -> float:
--- a/mastlift/store/machine.py
+++ b/mastlift/store/machine.py
@@ -18,6 +18,7 @@
 TESTS: dict[c.Test, Callable[[Any, Any], bool]] = {
     c.Test.EQUAL: operator.eq, c.Test.UNEQUAL: operator.ne, c.Test.LESS: operator.lt, c.Test.GREATER: operator.gt}
 NOTHING = Entry(b"", 0, 0, 0)
+LIFE_KEY = "mastlift/life"  # of this history, in hexadecimal: a state that was restored goes on under another one
 
 
 @dataclass(slots=True)
@@ -251,6 +252,11 @@
         self.__init__(History(self.history.most, self.history.most_bytes))  # type: ignore[misc]
 
 
+def entry_block(key: str, entry: Entry) -> bytes:
+    """A block of a dump that sets one key, whatever the blocks before it said."""
+    return c.ENCODE([_EntryRow(key, entry)])
+
+
 class _Head(c._Row, frozen=True, tag=1):
     revision: int
     index: int
