Add the list service: lists at every keeper, registrations, serve-as, servers ls/watch/drain

Need: discovery through a list service of the project's own, with versions and watches that survive keepers.

--- a/mastlift/cli.py
+++ b/mastlift/cli.py
@@ -11,6 +11,8 @@
 import msgspec
 import typer
 
+from mastlift.discovery.cli import app as servers_app
+from mastlift.discovery.cli import serve_as
 from mastlift.duty.cli import app as duty_app
 from mastlift.keeper.command import BAD_CALL, DAMAGE, DEFAULT_KEEPER, NO, Keepers, fail, with_keeper
 from mastlift.lab.cli import app as lab_app
@@ -34,7 +36,9 @@
 app.add_typer(state_app, name="state")
 app.add_typer(group_app, name="group")
 app.add_typer(duty_app, name="duty")
+app.add_typer(servers_app, name="servers")
 app.add_typer(lab_app, name="lab")
+app.command("serve-as")(serve_as)
 
 Json = Annotated[bool, typer.Option("--json", help="One JSON object, for programs.")]
 Seconds = Annotated[float, typer.Option("--within", help="Give up after so many seconds.")]
@@ -80,12 +84,10 @@
                                                        "group of the settings begins with. Only ever at its first "
                                                        "start: an emptied disk comes back without.")] = False) -> None:
     """Serve the store from this machine's disk until SIGTERM."""
-    from mastlift.keeper import process
-    from mastlift.keeper.config import Settings
-    from mastlift.settings import load
+    from mastlift.discovery.command import run_keeper
 
     start_logging(log)
-    process.run(load(config, Settings), config.parent, new_group=new_group)
+    run_keeper(config, new_group)
 
 
 @kv_app.command("put")
@@ -342,6 +344,7 @@
                   json: Json = False) -> None:
     """Make an empty folder a keeper's from a backup. It gets a new life: watchers read the whole again."""
     import os
+    import time
     from collections.abc import Iterator
 
     from mastlift.consensus.kept import begun_from
@@ -351,7 +354,7 @@
     from mastlift.keeper.config import Settings
     from mastlift.settings import load
     from mastlift.store.commands import Entry
-    from mastlift.store.machine import LIFE_KEY, entry_block
+    from mastlift.store.machine import LIFE_KEY, LIST_BASE_KEY, entry_block
 
     if not source.is_file():
         fail(BAD_CALL, f"{source}: there is no such file")
@@ -365,6 +368,7 @@
         def renewed() -> Iterator[bytes]:
             yield from blocks
             yield entry_block(LIFE_KEY, Entry(life.hex().encode(), 1, 1, 1))
+            yield entry_block(LIST_BASE_KEY, Entry(b"%d" % (time.time() * 1000), 1, 1, 1))
         if section is None:
             return renewed()
         return begun_from(renewed(), f"{name}.{life.hex()[:8]}@{section.members[name]}", section.name, index)
--- a/mastlift/duty/command.py
+++ b/mastlift/duty/command.py
@@ -4,43 +4,29 @@
 
 import asyncio
 import contextlib
-import ctypes
 import os
 import signal
 from collections.abc import Sequence
 
 from mastlift.duty.holder import Duty
 from mastlift.logs import get_logger
+from mastlift.processes import die_with_parent, signal_group
 
 TOKEN = "MASTLIFT_DUTY_TOKEN"
 KILL_BEFORE_MS = 50.0  # of the lease's end, as the holder counts it
 
 
-_PR_SET_PDEATHSIG = 1
-_LIBC = ctypes.CDLL(None, use_errno=True)
-
-
-def _die_with_parent() -> None:
-    """In the command's process, before its program: it must not act on when this one is killed outright."""
-    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
-
-
 async def _end(process: asyncio.subprocess.Process, duty: Duty, grace_ms: float) -> None:
     """SIGTERM to the group, then SIGKILL when its grace, or the time in which it may act, is up."""
     if process.returncode is None:
-        _signal(process, signal.SIGTERM)
+        signal_group(process.pid, signal.SIGTERM)
         left = min(grace_ms, max(0.0, duty.clock.left_ms(duty._now()) - KILL_BEFORE_MS))
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(process.wait(), left / 1000.0)
-    _signal(process, signal.SIGKILL)  # what else is in its group
+    signal_group(process.pid, signal.SIGKILL)  # what else is in its group
     await process.wait()
 
 
-def _signal(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
-    with contextlib.suppress(ProcessLookupError, PermissionError):
-        os.killpg(process.pid, number)
-
-
 async def hold(duty: Duty, command: Sequence[str], ending: asyncio.Event, grace_ms: float) -> int:
     """Wait in line, run the command while the duty is held, and again from the line on whenever it was lost. Returns
     the command's exit code once it ends by itself, 0 when `ending` was set."""
@@ -59,7 +45,7 @@
             token = await taking
             process = await asyncio.create_subprocess_exec(
                 *command, env={**os.environ, TOKEN: str(token)}, start_new_session=True,
-                preexec_fn=_die_with_parent)
+                preexec_fn=die_with_parent)
             log.info("command_started", token=token, pid=process.pid)
             try:
                 why = await _run(duty, process, ending, grace_ms)
--- a/mastlift/keeper/http.py
+++ b/mastlift/keeper/http.py
@@ -413,4 +413,5 @@
             "format": service.journal.identity.format, "revision": self.store.revision, "index": self.store.index,
             "keys": len(self.store.entries), "leases": len(self.store.leases),
             "sessions": len(self.store.sessions.by_id), "snapshots": service.journal.snapshots(),
-            "oldest_change": self.store.history.oldest, "recovery_s": recovery.seconds, "notes": recovery.notes})
+            "oldest_change": self.store.history.oldest, "recovery_s": recovery.seconds, "notes": recovery.notes,
+            **{name: tell() for name, tell in service.parts.items()}})
--- a/mastlift/keeper/process.py
+++ b/mastlift/keeper/process.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import os
 import signal
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import uvloop
@@ -59,7 +60,15 @@
     os._exit(DAMAGE)
 
 
-async def _serve(settings: Settings, disk: Disk, started: float, new_group: bool) -> None:
+Beside = Callable[[Service, Metrics], contextlib.AbstractAsyncContextManager[object]]
+
+
+@contextlib.asynccontextmanager
+async def _nothing(service: Service, metrics: Metrics) -> AsyncIterator[None]:
+    yield
+
+
+async def _serve(settings: Settings, disk: Disk, started: float, new_group: bool, beside: Beside) -> None:
     host, port = settings_.address(settings.keeper.listen, "keeper.listen")
     log, metrics, loop = get_logger("keeper"), Metrics(), asyncio.get_running_loop()
     ending = asyncio.Event()
@@ -93,13 +102,19 @@
         raise BadSettings(f"keeper.listen: {settings.keeper.listen}: {error.strerror}") from error
     address = runner.addresses[0]
     recovery = service.recovery
-    log.info("ready", name=settings.keeper.name, address=f"{address[0]}:{address[1]}", pid=os.getpid(),
-             recovery_s={step: round(took, 6) for step, took in recovery.seconds.items()},
-             start_s=round(time.monotonic() - started, 6), snapshot=recovery.snapshot, entries=recovery.entries,
-             revision=service.store.revision, keys=len(service.store.entries), made=recovery.made,
-             life=service.journal.identity.life)
-    await ending.wait()
-    service.stopping = True
+    async with contextlib.AsyncExitStack() as stack:
+        try:
+            await stack.enter_async_context(beside(service, metrics))
+        except OSError as error:
+            await service.stop()
+            raise BadSettings(f"discovery.tiers: {error.strerror}") from error
+        log.info("ready", name=settings.keeper.name, address=f"{address[0]}:{address[1]}", pid=os.getpid(),
+                 recovery_s={step: round(took, 6) for step, took in recovery.seconds.items()},
+                 start_s=round(time.monotonic() - started, 6), snapshot=recovery.snapshot, entries=recovery.entries,
+                 revision=service.store.revision, keys=len(service.store.entries), made=recovery.made,
+                 life=service.journal.identity.life)
+        await ending.wait()
+        service.stopping = True
     await site.stop()
     await service.stop()
     await runner.cleanup()
@@ -119,11 +134,12 @@
 
 
 def run(settings: Settings, base: Path, wrap: Callable[[Disk], Disk] = lambda disk: disk,
-        new_group: bool = False) -> None:
+        new_group: bool = False, beside: Beside = _nothing) -> None:
     """Serve until SIGTERM. `base` is what a relative data folder is relative to; `wrap` puts a faulty disk before the
-    real one. Raises BadSettings, Busy, and what `open_journal` raises."""
+    real one; `beside` is entered once the keeper serves, and left before it ends.
+    Raises BadSettings, Busy, and what `open_journal` raises."""
     started = time.monotonic()
     sys.setswitchinterval(SWITCH_S)
     settings_.address(settings.keeper.listen, "keeper.listen")
     _check_group(settings)
-    uvloop.run(_serve(settings, wrap(open_folder(settings, base)), started, new_group))
+    uvloop.run(_serve(settings, wrap(open_folder(settings, base)), started, new_group, beside))
--- a/mastlift/keeper/service.py
+++ b/mastlift/keeper/service.py
@@ -64,6 +64,8 @@
                 raise WrongFolder(f"the folder belongs to the group '{self.kept.group}', not '{settings.group.name}'")
         self.log = get_logger("keeper")
         self.stopping = False
+        self.may_end: Callable[[list[c.Revoke]], list[c.Revoke]] = lambda due: due  # who serves lists may hold some
+        self.parts: dict[str, Callable[[], object]] = {}  # what other parts of the process say in the status
         self.order: Order | None = None
         self._clock = LeaseClock(0.0)
         self._changed = asyncio.Event()
@@ -194,7 +196,7 @@
                 self._maybe_snapshot()
             if self.order is None or not self.order.leads:
                 continue
-            for revoke in self._clock.tick(now_ms()):
+            for revoke in self.may_end(self._clock.tick(now_ms())):
                 try:
                     result = await self.propose(c.Envelope(revoke), 32)
                 except (TooMany, DiskFull, Stopping, NotLeader, NotNow, Outdated):
--- a/mastlift/store/machine.py
+++ b/mastlift/store/machine.py
@@ -18,6 +18,7 @@
 TESTS: dict[c.Test, Callable[[Any, Any], bool]] = {
     c.Test.EQUAL: operator.eq, c.Test.UNEQUAL: operator.ne, c.Test.LESS: operator.lt, c.Test.GREATER: operator.gt}
 NOTHING = Entry(b"", 0, 0, 0)
+LIST_BASE_KEY = "mastlift/list-base"  # Unix ms at which this history began: above all that lists told before it
 LIFE_KEY = "mastlift/life"  # of this history, in hexadecimal: a state that was restored goes on under another one
 
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import shutil
 import signal
 import sys
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -17,9 +19,10 @@
 from mastlift.duty.clock import HolderClock, Holding
 from mastlift.duty.holder import Duty, all_duties, while_held
 from mastlift.keeper.client import KeeperClient, Refused, Unreachable, ask_each
-from mastlift.lab.chaos import chaos_run, running
+from mastlift.lab.chaos import chaos_run, running, writing
 from mastlift.lab.crowd import crowd_run
 from mastlift.lab.duties import command_pid, duties_run, holder, resource
+from mastlift.lab.kill import Verdict, compare
 from mastlift.lab.processes import free_address, keeper, keeper_settings
 from mastlift.store.leases import LeaseClock
 from tests.test_keeper import mastlift
@@ -256,6 +259,64 @@
     run(test)
 
 
+def test_without_a_majority_holders_stop_in_time_nothing_is_granted_and_all_comes_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path) as group, resource() as res, holder(group, res, "d", "one", ttl_s=1.0) as one:
+            await one.event("command_started")
+            lost = [name for name in group.places][:2]
+            began = time.monotonic()
+            await asyncio.gather(*(group.places[name].kill() for name in lost))
+            assert (await one.event("command_ended"))["why"] in ("lost", "no renewal in time")
+            assert time.monotonic() - began < 5.0
+            acted = res.acted
+            async with KeeperClient(group.keepers, deadline_s=1.0) as client:
+                with pytest.raises(Unreachable):
+                    await Duty(client, "other", "x", 1000).take()
+            assert res.acted == acted
+            await asyncio.gather(*(group.places[name].start() for name in lost))
+            while res.acted == acted:  # by itself
+                await asyncio.sleep(0.05)
+    run(test)
+
+
+def test_three_grow_to_five_and_back_under_load_and_a_damaged_log_is_replaced(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path) as group, contextlib.AsyncExitStack() as stack:
+            ledgers = await stack.enter_async_context(writing(tmp_path, group.keepers, 2, 3))
+            named, addresses = ",".join(group.keepers), dict(group.addresses)
+
+            async def voters(count: int) -> None:
+                while len((await group.status())[await group.leader()]["voters"]) != count:
+                    await asyncio.sleep(0.1)
+
+            for name, count in (("d", 4), ("e", 5)):
+                addresses[name] = free_address()
+                config = keeper_settings(tmp_path / name, addresses[name], name, addresses)
+                added = await asyncio.to_thread(mastlift, "group", "add", name, "--keepers", named)
+                assert added.returncode == 0, added.stderr
+                await stack.enter_async_context(keeper(config))
+                await voters(count)
+            for name, count in (("d", 4), ("e", 3)):
+                removed = await asyncio.to_thread(mastlift, "group", "remove", name, "--keepers", named)
+                assert removed.returncode == 0, removed.stderr
+                await voters(count)
+            damaged = next(iter(group.places.values()))
+            await damaged.kill()
+            (segment, *_) = sorted((damaged.folder / "data").glob("log-*.seg"))
+            data = bytearray(segment.read_bytes())
+            data[len(data) // 2] ^= 1
+            segment.write_bytes(data)
+            refused = await asyncio.to_thread(mastlift, "keeper", "run", "--config", damaged.config)
+            assert refused.returncode == 3 and segment.name in refused.stderr, refused.stderr
+            await damaged.empty()
+            await damaged.start()
+            await group.settled(3)
+            verdict = Verdict()
+            await compare(group.keepers, ledgers, verdict)
+            assert not verdict.broken and verdict.acknowledged > 50, verdict.broken
+    run(test)
+
+
 def test_losing_a_keeper_moves_no_duty_and_makes_no_storm_and_lines_are_fair(tmp_path: Path) -> None:
     """Short form of `lab crowd`."""
     async def test() -> None:
