Let the proxy take its list from several addresses and keep the last one in a file

Need: a proxy that has one discovery address has no list service when that one is gone, and one that falls back to an older keeper would go back in time. Change: discovery may name several addresses (a list, or by commas). The next one is called at once, with a small random wait, when one fails, says nothing for 1.5 s, or tells an older list; an older history is not taken. list_file, off unless set, keeps the last list with a checksum. With one address the bytes and times are what they were.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -56,8 +56,9 @@
         self.config = config
         self._front.reader = RequestReader(config)
         self._proxy.reconfigure(config)
-        log.info("new settings are in force: classes %s; attempts %d; discovery %s:%d",
-                 ", ".join(config.classes), config.settings.max_attempts, *config.discovery)
+        log.info("new settings are in force: classes %s; attempts %d; discovery %s",
+                 ", ".join(config.classes), config.settings.max_attempts,
+                 ", ".join(f"{host}:{port}" for host, port in config.discovery))
 
 
 class Evacuation:
--- a/cometdoor/config.py
+++ b/cometdoor/config.py
@@ -43,7 +43,8 @@
     name: str
     listen: Address
     control: Address | None  # the operators' door, where there is one
-    discovery: Address
+    discovery: tuple[Address, ...]  # one, or several that tell the same lists
+    list_file: Path | None  # where the last list is kept, if anywhere
     seed: int
     settings: api.Settings
     classes: dict[str, int]  # name -> place in settings.classes
@@ -71,6 +72,12 @@
     return host.strip("[]"), int(port)
 
 
+def read_addresses(given: str | list[str]) -> tuple[Address, ...]:
+    """One address, or several: a list, or by commas."""
+    texts = given.split(",") if isinstance(given, str) else given
+    return tuple(dict.fromkeys(read_address(text.strip()) for text in texts))
+
+
 def method_of(cls: api.RequestClass) -> bytes:
     return b"GET" if cls.effect is api.Effect.SAFE else b"POST"
 
@@ -137,7 +144,8 @@
         name=str(raw.get("name") or environment.get("NODE_NAME", "")),
         listen=read_address(raw.get("listen") or environment["NODE_LISTEN"]),
         control=read_address(control) if control else None,
-        discovery=read_address(raw.get("discovery") or environment["NODE_DISCOVERY"]),
+        discovery=read_addresses(raw.get("discovery") or environment["NODE_DISCOVERY"]),
+        list_file=Path(raw["list_file"]) if raw.get("list_file") else None,
         seed=seed if isinstance(seed, int) else int(seed, 16),
         settings=settings,
         classes={lane["name"]: place for place, lane in enumerate(info["lanes"])},
--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -11,6 +11,7 @@
 import random
 import time
 from collections.abc import Callable, Sequence
+from pathlib import Path
 from typing import Any, cast
 from zlib import crc32
 
@@ -18,6 +19,8 @@
 import orjson
 
 from cometdoor.config import Address, read_address
+from cometdoor.listfile import write_list
+from cometdoor.sources import FIRST_ANSWER_S, Sources
 from jasperhall.api import ListChanged, ListKind, Server, State
 
 log = logging.getLogger(__name__)
@@ -25,6 +28,8 @@
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 SILENCE_S = 5.0  # a watch says something every 2 s; one that doesn't for so long is broken
 MAX_LINE = 8 << 20
+KEEP_EVERY_S = 1.0  # a list that changes is written to its file no more often
+LIFE = "Mastlift-Life"  # names the history that revisions are of, where discovery says it
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.1, 5.0  # between watches where lists are pushed
 # All proxies are told of a new address at one moment, and it answers calls in turn; the old one still
 # keeps its open connections for 1.5 s.
@@ -74,16 +79,20 @@
 class WatchConnection(asyncio.Protocol):
     """One call: a chunked answer of one JSON object a line, until the connection ends."""
 
-    def __init__(self, owner: Discovery, target: str, host: str) -> None:
+    def __init__(self, owner: Discovery, target: str, host: str, life: str = "", patience_s: float = SILENCE_S) -> None:
+        """`life`: of the history that the index in the target is of; `patience_s` for the first byte of the answer."""
         self._owner = owner
-        self._head = f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
+        self._head = (f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n"
+                      + (f"{LIFE}: {life}\r\n" if life else "") + "\r\n").encode()
+        self.life = ""  # what the answer says
+        self._patience_s = patience_s
         self._parser = httptools.HttpResponseParser(self)
         self._line = bytearray()
         self._transport: asyncio.Transport | None = None
         self._opening: asyncio.Task[None] | None = None
         self._ended = False
         self._heard_at = owner.loop.time()
-        self._silence = owner.loop.call_later(SILENCE_S, self._check_silence)
+        self._silence = owner.loop.call_later(patience_s, self._check_silence)
 
     def open(self, address: Address) -> None:
         self._opening = self._owner.loop.create_task(self._connect(address))
@@ -103,11 +112,16 @@
 
     def data_received(self, data: bytes) -> None:
         self._heard_at = self._owner.loop.time()
+        self._patience_s = SILENCE_S
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
             self.end(f"not understood: {problem}")
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == LIFE.lower().encode():
+            self.life = value.decode("ascii", "replace")
+
     def on_body(self, body: bytes) -> None:
         if self._ended or self._parser.get_status_code() != 200:
             return
@@ -123,6 +137,9 @@
     def _read_line(self, line: bytes) -> None:
         try:
             message = orjson.loads(line)
+            if reason := self._owner.not_to_take(message, self.life):
+                self.end(reason)
+                return
             changes = self._owner.reader.read(message)
             self._owner.changed(message, *changes)
         except (ValueError, KeyError, TypeError, AttributeError) as problem:
@@ -141,7 +158,7 @@
 
     def _check_silence(self) -> None:
         """Guards against a discovery machine that vanished: its connection stays open and says nothing."""
-        left = self._heard_at + SILENCE_S - self._owner.loop.time()
+        left = self._heard_at + self._patience_s - self._owner.loop.time()
         if left <= 0:
             self.end("silent")
         else:
@@ -161,18 +178,25 @@
 
 
 class Discovery:
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, reader: ListReader, must_ask: bool,
-                 known: dict[str, Any], deliver: Callable[[ListChanged, dict[str, Address]], None]) -> None:
+    """The watch, at one of several addresses; with a single one nothing here differs from calling it alone."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, addresses: Sequence[Address], reader: ListReader,
+                 must_ask: bool, known: dict[str, Any], deliver: Callable[[ListChanged, dict[str, Address]], None],
+                 list_file: Path | None = None) -> None:
         self.loop = loop
         self.reader = reader
-        self._address = address
+        self._sources = Sources(addresses, random.Random())
         self._must_ask = must_ask
         self._revision = int(known.get("revision") or 0)
+        self._life = str(known.get("life") or "")
+        self._strange = 0  # answers of another life that were not taken
         self._members = {member["id"]: member for member in known.get("members") or ()}
         self._deliver = deliver
         self._watch: WatchConnection | None = None
         self._pause_s = FIRST_PAUSE_S
         self._moving: asyncio.TimerHandle | None = None
+        self._list_file = list_file
+        self._keeping: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         if not self._must_ask:
@@ -183,21 +207,22 @@
         self._stop_moving()
         if self._watch is not None:
             self._watch.end("replaced", tell=False)
-        host, port = self._address
-        self._watch = WatchConnection(
-            self, f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}")
-        self._watch.open(self._address)
+        host, port = self._sources.current
+        target, name = f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}"
+        self._watch = (WatchConnection(self, target, name, self._life, FIRST_ANSWER_S) if self._sources.several
+                       else WatchConnection(self, target, name))
+        self._watch.open((host, port))
 
     def whole_list(self) -> dict[str, Any]:
         """As discovery itself would tell it."""
-        return {"revision": self._revision, "complete": True, "members": list(self._members.values())}
+        return {"revision": self._revision, "complete": True, "members": list(self._members.values()),
+                **({"life": self._life} if self._life else {})}
 
-    def move(self, address: Address) -> None:
-        """Go on at another address from the known revision, without waiting for the old one's end."""
-        if address == self._address:
+    def move(self, addresses: Sequence[Address]) -> None:
+        """Go on at other addresses from the known revision, without waiting for the old one's end."""
+        if not self._sources.change(addresses):
             return
-        log.info("discovery moves to %s:%d", *address)
-        self._address = address
+        log.info("discovery moves to %s:%d", *self._sources.current)
         self._pause_s = FIRST_PAUSE_S
         self._stop_moving()
         self._moving = self.loop.call_later(random.uniform(0.0, MOVE_SPREAD_S), self.watch)
@@ -214,10 +239,29 @@
 
     def stop(self) -> None:
         self._stop_moving()
+        if self._keeping is not None:
+            self._keeping.cancel()
+            self._keep()
         if self._watch is not None:
             self._watch.end("stopped", tell=False)
             self._watch = None
 
+    def not_to_take(self, message: dict[str, Any], life: str) -> str:
+        """Why a line must not be told to the decisions; empty where it may. Only where several addresses tell one
+        list: one of them may have fallen behind, or tell of another history."""
+        if not self._sources.several:
+            return ""
+        revision = int(message.get("revision", self._revision))
+        if life != self._life and self._life and (not message.get("complete") or revision < self._revision):
+            # A later history has higher revisions by its making. That all tell of a lower one means a clock that was
+            # set back: then there is nothing else to go by.
+            self._strange += 1
+            if not message.get("complete") or self._strange <= self._sources.count:
+                return f"of another life: revision {revision} after {self._revision}"
+        elif revision < self._revision:
+            return f"older than what is known: {revision} after {self._revision}"
+        return ""
+
     def changed(self, message: dict[str, Any], servers: list[Server], addresses: dict[str, Address]) -> None:
         self._revision = int(message.get("revision", self._revision))
         if message.get("complete"):
@@ -228,6 +272,12 @@
             else:
                 self._members[member["id"]] = member
         self._pause_s = FIRST_PAUSE_S
+        self._sources.worked()
+        self._strange = 0
+        if self._watch is not None:
+            self._life = self._watch.life
+        if self._list_file is not None and self._keeping is None:
+            self._keeping = self.loop.call_later(KEEP_EVERY_S, self._keep)
         kind = ListKind.FULL if message.get("complete") else ListKind.DELTA
         self._deliver(ListChanged(kind, tuple(servers)), addresses)
 
@@ -236,12 +286,20 @@
             return
         self._watch = None
         log.info("discovery: %s", reason)
+        if self._sources.several and (soon := self._sources.failed()) is not None:
+            self._moving = self.loop.call_later(soon, self.watch)
+            return
         if self._must_ask:
             self._deliver(ListChanged(ListKind.FAILED), {})
             return
         self.loop.call_later(self._pause_s * random.uniform(0.5, 1.0), self._watch_again)
         self._pause_s = min(2.0 * self._pause_s, LONGEST_PAUSE_S)
 
+    def _keep(self) -> None:
+        self._keeping = None
+        if self._list_file is not None:
+            write_list(self._list_file, self.whole_list())
+
     def _watch_again(self) -> None:
         if self._watch is None:
             self.watch()
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -26,6 +26,7 @@
     pause_headers,
 )
 from cometdoor.lifecycle import LifeCycle
+from cometdoor.listfile import read_list
 from cometdoor.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source
 from jasperhall import Balancer, api
 from jasperhall.api import ListKind, Outcome, State
@@ -148,7 +149,7 @@
         told = told if told is not None and self._can_use(told, reader) else None
         known = told["list"] if told is not None else self._known(reader)
         self._discovery = Discovery(
-            loop, config.discovery, reader, config.settings.must_ask, known, self._list_changed)
+            loop, config.discovery, reader, config.settings.must_ask, known, self._list_changed, config.list_file)
         servers, addresses = reader.read(known)
         self._list_changed(api.ListChanged(ListKind.CACHED, tuple(servers)), addresses)
         if told is not None:
@@ -156,12 +157,17 @@
             log.info("taken over: %d servers at revision %s", len(servers), known["revision"])
 
     def _known(self, reader: ListReader) -> dict[str, Any]:
-        try:
-            reader.read(self._config.known)
-        except (KeyError, ValueError, TypeError, AttributeError) as problem:
-            log.error("the list in the configuration is of no use: %s: %s", type(problem).__name__, problem)
-            return {}
-        return self._config.known
+        """The list in the configuration, or the one that was kept last, if that is newer."""
+        known: dict[str, Any] = {}
+        kept = read_list(self._config.list_file) if self._config.list_file else {}
+        for what, told in (("in the configuration", self._config.known), ("that was kept", kept)):
+            try:
+                reader.read(told)
+                if int(told.get("revision") or 0) >= int(known.get("revision") or 0):
+                    known = told
+            except (KeyError, ValueError, TypeError, AttributeError) as problem:
+                log.error("the list %s is of no use: %s: %s", what, type(problem).__name__, problem)
+        return known
 
     def _can_use(self, told: dict[str, Any], reader: ListReader) -> bool:
         """Another version may have written it: it is tried out on a module that is thrown away."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
@@ -11,6 +12,7 @@
 
 from cometdoor.config import read_config
 from cometdoor.discovery import ListReader
+from cometdoor.listfile import read_list, write_list
 from jasperhall import api
 from jasperhall.api import ListKind, State
 from tests.rig import FakeServer, Rig, Script, make_config, member, run
@@ -181,3 +183,68 @@
             await asyncio.sleep(0.01)
 
     run(test)
+
+
+def test_of_several_addresses_it_leaves_what_fails_is_silent_or_older_and_never_goes_back() -> None:
+    async def test() -> None:
+        with Script().in_place() as script, mock.patch("cometdoor.discovery.FIRST_ANSWER_S", 0.2):
+            script.react = lambda event: []
+            fakes = [await FakeServer().start() for _ in range(3)]
+            calls: asyncio.Queue[tuple[FakeServer, Any]] = asyncio.Queue()
+
+            async def gather(fake: FakeServer) -> None:
+                while True:
+                    calls.put_nowait((fake, await fake.next()))
+            gathering = [asyncio.create_task(gather(fake)) for fake in fakes]
+            rig = await Rig().start(member("s1", "127.0.0.1:9"), asked=False,
+                                    discovery=",".join(fake.address for fake in fakes))
+            first, call = await calls.get()
+            call.reply(503)
+            second, call = await calls.get()  # at once, at another one; this one stays silent
+            third, call = await calls.get()
+            assert {first, second, third} == set(fakes)
+            call.open_stream()
+            call.send_list(50, True, member("s1", "127.0.0.1:9"))
+            assert (await script.until(api.ListChanged)).kind is ListKind.CACHED
+            assert (await script.until(api.ListChanged)).kind is ListKind.FULL
+            call.send_list(49, True)  # older than what was told
+            await call.closed()
+            for life, revision, kind in (("", 51, ListKind.DELTA), ("b" * 32, 60, ListKind.FULL)):
+                _, call = await calls.get()
+                assert b"index=%d" % (50 if revision == 51 else 51) in call.message.start
+                call.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nMastlift-Life: %s\r\n\r\n"
+                                  % (life or "a" * 32).encode())
+                call.send_list(revision, kind is ListKind.FULL, member("s2", "127.0.0.1:9"))
+                assert (await script.until(api.ListChanged)).kind is kind
+                call.writer.close()
+            for _ in range(2):  # an older history than the one it knows
+                _, call = await calls.get()
+                call.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nMastlift-Life: aa\r\n\r\n")
+                call.send_list(55, True)
+                await call.closed()
+            assert [event.kind for event in script.events if isinstance(event, api.ListChanged)].count(
+                ListKind.FULL) == 2
+            assert call.message.headers.get("mastlift-life") == "b" * 32
+            rig.proxy.stop()
+            for task in gathering:
+                task.cancel()
+
+    run(test)
+
+
+def test_the_last_list_is_kept_in_a_file_where_a_setting_names_it_and_damage_to_it_is_left(tmp_path: Path) -> None:
+    async def test() -> None:
+        path = tmp_path / "list"
+        write_list(path, {"revision": 77, "complete": True, "members": [member("s7", "127.0.0.1:9")]})
+        with Script().in_place() as script:
+            script.react = lambda event: []
+            await Rig().start(member("s1", "127.0.0.1:9"), discovery="127.0.0.1:1,127.0.0.2:1", asked=False,
+                              list_file=str(path))
+            cached = await script.until(api.ListChanged)
+            assert [server.name for server in cached.servers] == ["s7"]
+        data = path.read_bytes()
+        path.write_bytes(data[:-3] + b"x" + data[-2:])
+        assert read_list(path) == {}
+        write_list(tmp_path / "no" / "where", {"revision": 1})
+
+    run(test)
