Check the list service in simulated time and among processes; mend two faults it found

Need: a checker that finds backwards lists, lost changes and mass expiry, and the hard cases shown with processes. Change: lab check discovery plays the real Lists, Teller, Hold and the proxy's own discovery client on the group's simulation; lab lists plays twelve faults by name on three keepers, six proxies, thirty backends and clients, judged by relays and backends outside. What a keeper may tell is now a pure part (teller.py): nothing older than the last read through the leader.

--- a/mastlift/cli.py
+++ b/mastlift/cli.py
@@ -348,10 +348,10 @@
     from collections.abc import Iterator
 
     from mastlift.consensus.kept import begun_from
+    from mastlift.discovery.config import Settings
     from mastlift.durable.archive import restore
     from mastlift.durable.frames import LIFE_SIZE
     from mastlift.durable.snapshot import SnapshotReader
-    from mastlift.keeper.config import Settings
     from mastlift.settings import load
     from mastlift.store.commands import Entry
     from mastlift.store.machine import LIFE_KEY, LIST_BASE_KEY, entry_block
--- a/mastlift/consensus/core.py
+++ b/mastlift/consensus/core.py
@@ -345,14 +345,6 @@
             return self._majority_heard()
         return bool(self.leader) and self.now - self._heard_leader < self.timing.election
 
-    def in_touch(self, now: float, within: float) -> bool:
-        """Has this member heard, not longer ago than `within`, its leader, or as a leader a majority?"""
-        if self.role is Role.LEADER:
-            heard = sum(1 for peer, progress in self.peers.items()
-                        if peer in self.members.voters and now - progress.heard < within)
-            return heard + (self.id in self.members.voters) >= self.members.majority
-        return bool(self.leader) and now - self._heard_leader < within
-
     def _about_term(self, source: str, message: Message) -> bool:
         """Look at the term first; False where the message needs no more."""
         if message.term < self.term:
--- a/mastlift/discovery/hold.py
+++ b/mastlift/discovery/hold.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -31,18 +32,17 @@
     def may_end(self, now: float, due: Iterable[Due], listed: Mapping[str, int]) -> set[int]:
         """Which of those that are due may end now; `listed` counts the servers of each tier. Ask again with all that
         are still due."""
+        due = list(due)
         self._let_go = {lease: one for lease, one in self._let_go.items() if one[0] > now}
-        recent: dict[str, int] = {}
-        for _, tiers in self._let_go.values():
-            for tier in tiers:
-                recent[tier] = recent.get(tier, 0) + 1
+        still = {one.lease for one in due}  # listed until their end is committed, though they were let go
+        recent, gone = Counter[str](), Counter[str]()
+        for lease, (_, tiers) in self._let_go.items():
+            recent.update(tiers)
+            if lease not in still:
+                gone.update(tiers)
         waiting = [one for one in due if one.lease not in self._let_go]
-        silent: dict[str, int] = {}
-        for one in waiting:
-            for tier in one.tiers:
-                silent[tier] = silent.get(tier, 0) + 1
-        room = {tier: max(1, int(self.share * (listed.get(tier, 0) + recent.get(tier, 0)))) - recent.get(tier, 0)
-                for tier in silent}
+        silent = Counter(tier for one in waiting for tier in one.tiers)
+        room = {tier: max(1, int(self.share * (listed.get(tier, 0) + gone[tier]))) - recent[tier] for tier in silent}
         self.held = {tier: count for tier, count in silent.items() if count > room[tier]}
         ends = {lease for lease in self._let_go}
         for one in waiting:
--- a/mastlift/discovery/lists.py
+++ b/mastlift/discovery/lists.py
@@ -138,20 +138,22 @@
 
     def apply(self, changes: Iterable[Change], entries: dict[str, Entry], revision: int) -> dict[str, bytes]:
         """Go on to `revision` by the changes in between, `entries` being the state there; by tier, the line to tell."""
-        touched: dict[str, dict[str, None]] = {}
+        before: dict[tuple[str, str], Member | None] = {}
         for key, entry in changes:
             if key == LIST_BASE_KEY:
                 self._read_base(entries.get(key))
             elif (found := tier_and_id(key)) is not None:
-                tier, id_ = found
-                place = self._tier(tier)
-                before = place.members.get(id_)
-                self._set(list_key(tier, id_), entries)
-                if place.members.get(id_) != before:
-                    place.note(entry.changed, id_)
-                    touched.setdefault(tier, {})[id_] = None
+                place = self._tier(found[0])
+                before.setdefault(found, place.members.get(found[1]))
+                self._set(list_key(*found), entries)
+                # Each one counts, though `entries` are of the end: a caller may have been told of those before it.
+                place.note(entry.changed, found[1])
         self.revision = revision
-        return {tier: self._line(tier, list(ids)) for tier, ids in touched.items()}
+        touched: dict[str, list[str]] = {}
+        for (tier, id_), was in before.items():
+            if self._tier(tier).members.get(id_) != was:
+                touched.setdefault(tier, []).append(id_)
+        return {tier: self._line(tier, ids) for tier, ids in touched.items()}
 
     def _read_base(self, entry: Entry | None) -> None:
         self.base = int(entry.value) if entry else 0
--- a/mastlift/discovery/service.py
+++ b/mastlift/discovery/service.py
@@ -20,9 +20,10 @@
 from mastlift.consensus.driver import Outdated
 from mastlift.discovery.config import DiscoverySection
 from mastlift.discovery.hold import Due, Hold
-from mastlift.discovery.lists import LIST, Lists, tier_and_id
+from mastlift.discovery.lists import LIST, tier_and_id
+from mastlift.discovery.teller import Say, Step, Teller
 from mastlift.durable.disk import DiskFull
-from mastlift.keeper.service import Service, Stopping, TooMany
+from mastlift.keeper.service import Service, Stopping, TooMany, now_ms
 from mastlift.keeper.wire import LIFE
 from mastlift.logs import get_logger
 from mastlift.metrics import Metrics
@@ -60,33 +61,35 @@
 
 
 class Admission:
-    """A bucket of tokens: `per_s` on average, `at_once` together. Pure but for the time it is told, in seconds."""
+    """A bucket of tokens: `per_s` on average, `at_once` together. Who is refused is told a time of its own to come
+    again, so that those who come at their times find their tokens. Pure but for the time it is told, in seconds."""
 
     def __init__(self, per_s: float, at_once: float) -> None:
-        self.per_s, self.at_once, self._tokens, self._at = per_s, at_once, at_once, 0.0
+        self.per_s, self.at_once, self._tokens, self._at, self._promised = per_s, at_once, at_once, 0.0, 0.0
 
     def take(self, now: float) -> float:
-        """0.0: go on; else in how many seconds there will be a token."""
+        """0.0: go on; else in how many seconds to come again."""
         self._tokens = min(self.at_once, self._tokens + (now - self._at) * self.per_s)
         self._at = now
         if self._tokens >= 1.0:
             self._tokens -= 1.0
             return 0.0
-        return (1.0 - self._tokens) / self.per_s
+        self._promised = max(self._promised, now) + 1.0 / self.per_s
+        return self._promised - now
 
 
 class ListService:
     """All tiers of one keeper."""
 
     def __init__(self, service: Service, section: DiscoverySection, metrics: Metrics) -> None:
-        self.service, self.section, self.lists = service, section, Lists()
+        self.service, self.section, self.teller = service, section, Teller(section.cut_off_s * 1000.0)
+        self.lists = self.teller.lists
         self.log = get_logger("discovery")
-        self.ready = False
         self.hold = Hold(section.share)
         self.watches: dict[str, set[Watch]] = {tier: set() for tier in section.tiers}
         self._admission = Admission(section.whole_per_s, section.whole_at_once)
         self._slot = 0
-        self._fed = asyncio.Event()
+        self._reading: asyncio.Task[bool] | None = None
         self._told_held: dict[str, int] = {}
         service.may_end = self._may_end
         service.parts["discovery"] = self.status
@@ -101,7 +104,7 @@
         return sum(map(len, self.watches.values()))
 
     def status(self) -> dict[str, object]:
-        return {"ready": self.ready, "revision": self.lists.told_revision, "watches": self._count(),
+        return {"ready": self.teller.ready, "revision": self.lists.told_revision, "watches": self._count(),
                 "held": dict(self.hold.held), "unreadable": sorted(self.lists.unreadable),
                 "servers": {tier: len(one.members) for tier, one in sorted(self.lists.tiers.items())}}
 
@@ -118,7 +121,7 @@
                 servers.append(Due(revoke.lease, lease.ttl_ms, tuple(sorted(tiers))))
         if not servers and not self.hold.held:
             return due
-        ends = self.hold.may_end(time.monotonic() * 1000.0, servers,
+        ends = self.hold.may_end(now_ms(), servers,
                                  {tier: len(one.members) for tier, one in self.lists.tiers.items()})
         if self.hold.held != self._told_held:
             self._told_held = dict(self.hold.held)
@@ -159,14 +162,12 @@
             lines = self.lists.apply(self.service.changes(self.lists.revision), store.entries, store.revision)
         except Compacted:  # a snapshot of the leader took the place of what was between
             self._load()
-            self._end_watches("a snapshot was received")
+            self._end_watches()
             return
         if self.lists.base != base:
-            self._end_watches("the history has its number now")
+            self._end_watches()
         for tier, line in lines.items():
             self._broadcast(tier, line)
-        fed, self._fed = self._fed, asyncio.Event()
-        fed.set()
 
     def _broadcast(self, tier: str, line: bytes) -> None:
         data, limit, revision = chunk(line), self.section.slow_kb << 10, self.lists.told_revision
@@ -184,21 +185,18 @@
 
     # --- in touch, empty lines, slow readers ---
 
-    def in_touch(self) -> bool:
-        grouped = self.service.grouped
-        return grouped is None or grouped.in_touch(self.section.cut_off_s * 1000.0)
+    def _look(self) -> None:
+        step = self.teller.look(now_ms())
+        if step is Step.END_WATCHES:
+            self.log.warning("lists_out_of_touch", watches=self._count())
+            self._end_watches()
+        if step is not Step.NOTHING and (self._reading is None or self._reading.done()):
+            self._reading = asyncio.create_task(self._read())
 
     async def _guard(self) -> None:
         while True:
             await asyncio.sleep(STEP_S)
-            if not self.in_touch() or self.service.stopping:
-                if self.ready:
-                    self.log.warning("lists_out_of_touch", watches=self._count())
-                    self.ready = False
-                    self._end_watches("out of touch")
-                continue
-            if not self.ready:
-                await self._become_ready()
+            self._look()
             self._slot = (self._slot + 1) % SLOTS
             for tier, watches in self.watches.items():
                 for watch in list(watches):
@@ -219,28 +217,10 @@
             watch.transport.write(EMPTY)
 
     def _write_since(self, watch: Watch, tier: str) -> None:
-        try:
-            line = self.lists.after(tier, watch.index) or b"\n"
-        except (Compacted, KeyError):
-            line = self.lists.whole(tier)
-        watch.transport.write(chunk(line))
+        watch.transport.write(chunk(self.teller.since(tier, watch.index)))
         watch.index = self.lists.told_revision
 
-    async def _become_ready(self) -> None:
-        """Caught up with all that anybody was told before now, and with a number of the history's own."""
-        assert self.service.order is not None
-        with contextlib.suppress(*NOT_NOW):
-            await asyncio.wait_for(self.service.order.read_barrier(), self.section.wait_s)
-            self.catch_up()
-            if not self.lists.base and self.service.order.leads:
-                await self.service.propose(c.Envelope(c.Put(
-                    LIST_BASE_KEY, b"%d" % (time.time() * 1000), 0, 0)), 64)
-                self.catch_up()
-            self.ready = self.lists.base > 0
-            if self.ready:
-                self.log.info("lists_ready", revision=self.lists.told_revision)
-
-    def _end_watches(self, why: str) -> None:
+    def _end_watches(self) -> None:
         for watches in self.watches.values():
             for watch in watches:
                 watch.end()
@@ -259,16 +239,22 @@
         self.refused.labels(why).inc()
         return web.Response(status=503, text=f"{why}\n", headers={"Retry-After": f"{after_s:.2f}"})
 
-    async def _reach(self, index: int) -> bool:
-        """Wait until this keeper has come to `index`, or knows that no keeper of this history has; False if in vain."""
-        if index <= self.lists.told_revision:
-            return True
-        assert self.service.order is not None
+    async def _read(self) -> bool:
+        """Be as far as any keeper was when this was called; False where it can't be known in time."""
+        order, began, was = self.service.order, now_ms(), self.teller.ready
+        assert order is not None
         try:
-            await asyncio.wait_for(self.service.order.read_barrier(), self.section.wait_s)
+            await asyncio.wait_for(order.read_barrier(), self.section.wait_s)
+            self.catch_up()
+            if not self.lists.base and order.leads:
+                await self.service.propose(c.Envelope(c.Put(
+                    LIST_BASE_KEY, b"%d" % (time.time() * 1000), 0, 0)), 64)
+                self.catch_up()
         except NOT_NOW:
             return False
-        self.catch_up()
+        self.teller.caught_up(began)
+        if self.teller.ready and not was:
+            self.log.info("lists_ready", revision=self.lists.told_revision)
         return True
 
     async def _hosts(self, request: web.Request, tier: str) -> web.StreamResponse:
@@ -276,18 +262,21 @@
         text = request.query.get("index", "")
         if text and not (text.isascii() and text.isdecimal() and len(text) <= 19):
             return web.Response(status=400, text="index: it is a whole number, not below 0\n")
-        index, watching = int(text) if text else None, request.query.get("stream") == "1"
-        if not self.ready or not self.in_touch():
-            return self._no("not in touch", random.uniform(0.2, 0.6))
-        if index is not None and not await self._reach(index):
-            return self._no("behind the index", random.uniform(0.2, 0.6))
+        watching = request.query.get("stream") == "1"
+        index = int(text) if text and watching else None
         if watching and self._count() >= self.section.watches:
             return self._no("too many watches", random.uniform(1.0, 3.0))
-        if request.headers.get(LIFE, self.service.life) != self.service.life:
-            index = None  # of another life: its numbers say nothing here
-        known = self._knows(tier, index) if watching else False
-        if not known and (wait := self._admission.take(time.monotonic())):
-            return self._no("too many whole lists", wait + random.uniform(0.0, 1.0))
+        same_life = request.headers.get(LIFE, self.service.life) == self.service.life
+        self._look()
+        say = self.teller.answer(tier, index, same_life)
+        if say is Say.CATCH_UP:
+            if not await self._read():
+                return self._no("behind the index", random.uniform(0.2, 0.6))
+            say = self.teller.answer(tier, index, same_life, read=True)
+        if say is Say.NOT_NOW:
+            return self._no("not in touch", random.uniform(0.2, 0.6))
+        if say is Say.WHOLE and (wait := self._admission.take(time.monotonic())):
+            return self._no("too many whole lists", wait + random.uniform(0.0, 0.2))
         headers = {"Content-Type": "application/json", LIFE: self.service.life}
         if not watching:
             return web.Response(body=self.lists.whole(tier), headers=headers)
@@ -295,10 +284,10 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         transport = request.transport
-        if not isinstance(transport, asyncio.Transport) or transport.is_closing():
+        if transport is None or transport.is_closing():
             return response
         watch = Watch(transport, asyncio.get_running_loop().create_future(), random.randrange(SLOTS), index or 0)
-        if known:
+        if say is Say.SINCE:
             self._write_since(watch, tier)
         else:
             transport.write(chunk(self.lists.whole(tier)))
@@ -311,12 +300,6 @@
             transport.close()
         return response
 
-    def _knows(self, tier: str, index: int | None) -> bool:
-        try:
-            return index is not None and self.lists.after(tier, index) is not None
-        except (Compacted, KeyError):
-            return False
-
 
 @contextlib.asynccontextmanager
 async def serving(service: Service, section: DiscoverySection, metrics: Metrics) -> AsyncIterator[ListService]:
@@ -335,7 +318,9 @@
         try:
             yield one
         finally:
-            one._end_watches("ending")
+            one._end_watches()
+            if one._reading is not None:
+                one._reading.cancel()
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
--- a/mastlift/keeper/grouped.py
+++ b/mastlift/keeper/grouped.py
@@ -176,10 +176,6 @@
 
     # --- the group ---
 
-    def in_touch(self, within_ms: float) -> bool:
-        """Is this keeper one that hears the others, now?"""
-        return self.member.core.in_touch(now_ms(), within_ms)
-
     def _role(self, change: r.RoleChanged) -> None:
         self._told(change.role is r.Role.LEADER)
 
--- a/mastlift/lab/chaos.py
+++ b/mastlift/lab/chaos.py
@@ -13,7 +13,7 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -98,14 +98,15 @@
 
 
 @contextlib.asynccontextmanager
-async def running(folder: Path, names: str = "abc", **tables: Any) -> Any:
-    """A group of keepers that is ready."""
+async def running(folder: Path, names: str = "abc", each: Callable[[str], dict[str, Any]] = lambda name: {},
+                  **tables: Any) -> Any:
+    """A group of keepers that is ready; `each` gives further tables of one's settings."""
     async with contextlib.AsyncExitStack() as stack:
         addresses = {name: free_address() for name in names}
         places = {}
         for name in names:
             listen = free_address()
-            config = keeper_settings(folder / name, listen, name, addresses, **tables)
+            config = keeper_settings(folder / name, listen, name, addresses, **tables, **each(name))
             one = await stack.enter_async_context(relay(listen, addresses[name]))
             places[name] = KeeperProcess(name, folder / name, config, one)
             await stack.enter_async_context(places[name].stack)
--- a/mastlift/lab/cli.py
+++ b/mastlift/lab/cli.py
@@ -82,7 +82,7 @@
 
 
 @app.command()
-def check(what: Annotated[str, typer.Argument(help="consensus or duties")],
+def check(what: Annotated[str, typer.Argument(help="consensus, duties or discovery")],
           runs: Annotated[int, typer.Option(min=1, help="How many schedules.")] = 200, seed: Seed = 0,
           without: Annotated[str, typer.Option(help="Leave out the faults of these numbers: 3,5,7")] = "",
           mutation: Annotated[str, typer.Option(help="Break this rule on purpose, or `all` in turn.")] = "",
@@ -183,6 +183,44 @@
     _finish({**told}, json, broken)
 
 
+@app.command()
+def lists(scenario: Annotated[list[str] | None, typer.Argument(help="By name; none: all in turn.")] = None,
+          scale: Annotated[float, typer.Option(min=0.1, help="Of the times that faults last.")] = 1.0,
+          proxies: Annotated[int, typer.Option(min=1)] = 6, backends: Annotated[int, typer.Option(min=8)] = 30,
+          json: Json = False) -> None:
+    """The list service among processes: three keepers, proxies, backends and clients, under faults by name.
+
+    Judged from outside: no list runs backwards, nothing new comes to a server 250 ms after a proxy was told, no list
+    empties, and as many requests are served as without faults."""
+    from dataclasses import asdict
+
+    from rich.console import Console
+    from rich.table import Table
+
+    from mastlift.lab.listfaults import SCENARIOS, play_lists
+
+    names = list(scenario or SCENARIOS)
+    if unknown := set(names) - SCENARIOS.keys():
+        typer.echo(f"mastlift: there is no scenario '{min(unknown)}'; there are: {', '.join(SCENARIOS)}", err=True)
+        raise typer.Exit(2)
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
+    with tempfile.TemporaryDirectory() as folder, Progress(transient=True, disable=json) as progress:
+        task = progress.add_task("", total=len(names) + 1)
+
+        def tell(name: str) -> None:
+            progress.update(task, advance=1, description=name)
+        played, notes = asyncio.run(play_lists(Path(folder), ["nothing", *(n for n in names if n != "nothing")], scale,
+                                               proxies, backends, tell))
+    if not json:
+        table = Table("scenario", "served", "smallest list", "calls", "latest ms", "own lag ms", "s", box=None)
+        for one in played:
+            table.add_row(one.name, f"{one.served} of {one.asked}", str(one.smallest_list), str(one.calls),
+                          str(one.latest_ms), str(one.lag_ms), str(one.seconds))
+        Console(width=140).print(table)
+    _finish({**notes, **({"played": [asdict(one) for one in played]} if json else {})}, json,
+            [f"{one.name}: {line}" for one in played for line in one.broken])
+
+
 @app.command("try")
 def try_() -> None:
     """A proxy, two stand-in backends and a keeper that is killed and started again; ends by itself."""
--- a/mastlift/lab/dutysim.py
+++ b/mastlift/lab/dutysim.py
@@ -10,12 +10,9 @@
 from collections import Counter
 from collections.abc import Callable
 
-from mastlift.consensus import core as r
 from mastlift.duty.clock import HolderClock, Holding
-from mastlift.lab.groupsim import Group, Node
+from mastlift.lab.leasesim import LeaseGroup
 from mastlift.store import commands as c
-from mastlift.store.leases import LeaseClock
-from mastlift.store.machine import Store
 
 KEY = "duty/x/holder"
 HOLDERS = 4
@@ -146,16 +143,13 @@
         return bool(self.token) and self.clock.state(self.now()) is Holding.HELD
 
 
-class DutyGroup(Group):
+class DutyGroup(LeaseGroup):
     """A group's schedule with holders on it instead of the clients' history alone."""
 
     def __init__(self, seed: int, without: frozenset[int] = frozenset()) -> None:
-        self.clocks: dict[str, tuple[int, LeaseClock]] = {}
         self.highest = 0
         self.owners: dict[int, HolderClock] = {}  # each holding has a clock of its own
-        self._results: dict[int, c.Result] = {}
-        self._referee = Store()
-        super().__init__(seed, length_ms=12_000.0, without=without)
+        super().__init__(seed, without=without)
         self.holders = [Holder(self, number) for number in range(HOLDERS)]
         for holder in self.holders:
             self.after(600.0 + 20.0 * len(holder.name), holder.begin)
@@ -171,87 +165,6 @@
                 self._pauses(holder)
         self.after(holder.rng.expovariate(1 / 1500.0), pause)
 
-    # --- the keepers' time ---
-
-    def _clock(self, node: Node) -> LeaseClock:
-        life, clock = self.clocks.get(node.id, (-1, LeaseClock(0.0)))
-        if life != node.life:
-            clock = LeaseClock(self.now * node.rate, self._leases(node))
-            self.clocks[node.id] = node.life, clock
-        return clock
-
-    @staticmethod
-    def _leases(node: Node) -> list[tuple[int, int, int]]:
-        return [(lease, one.ttl_ms, one.renewals) for lease, one in node.store.leases.items()]
-
-    def _role(self, node: Node, change: r.RoleChanged) -> None:
-        super()._role(node, change)
-        if change.role is r.Role.LEADER:
-            self.clocks[node.id] = node.life, LeaseClock(self.now * node.rate, self._leases(node))
-
-    def _check_state(self, node: Node) -> None:
-        super()._check_state(node)
-        log, clock, now = node.core.log, self._clock(node), self.now * node.rate
-        if not log.base < node.applied <= log.last:
-            return
-        entry = log.entries[node.applied - log.base - 1]
-        command = c.DECODE_ALL(entry.data)[0].command if entry.data else None
-        if isinstance(command, c.Grant | c.Renew | c.Revoke):
-            lease = node.applied if isinstance(command, c.Grant) else command.lease
-            standing = node.store.leases.get(lease)
-            if standing is None:
-                clock.ended(lease)
-            elif not isinstance(command, c.Revoke):
-                clock.started(lease, standing.ttl_ms, standing.renewals, now)
-
-    def _tick(self, node: Node, life: int) -> None:
-        super()._tick(node, life)
-        if self._alive(node, life) and self.now >= node.paused_until:
-            due = self._clock(node).tick(self.now * node.rate)
-            if node.core.role is r.Role.LEADER:
-                for revoke in due:
-                    self._propose(node, self.ending(revoke))
-
-    def ending(self, revoke: c.Revoke) -> c.Revoke:
-        return revoke
-
-    def _propose(self, node: Node, command: c.Command) -> int:
-        try:
-            index, actions = node.core.propose([c.encode([c.Envelope(command)])], self.now * node.rate)
-        except (r.NotLeader, r.NotNow):
-            return 0
-        self._do(node, actions)
-        return index
-
-    def submit(self, command: c.Command, heard: Callable[[c.Result], None]) -> None:
-        """A holder's call at a member that thinks it leads; answered only if it is committed there."""
-        node = self._leader()
-        if node is None:
-            return
-        term, life = node.core.term, node.life
-        index, until = self._propose(node, command), self.now + 3000.0
-
-        def look() -> None:
-            if not index or not self._alive(node, life) or self.now > until:
-                return
-            if node.applied < index:
-                self.after(2.0, look)
-            elif len(self.committed) >= index and self.committed[index - 1].term == term:
-                heard(self.results[index])
-        look()
-
-    @property
-    def results(self) -> dict[int, c.Result]:
-        """What each committed command came to, by a state machine that stands apart."""
-        while self._referee.index < len(self.committed):
-            entry = self.committed[self._referee.index]
-            if entry.data:
-                result = self._referee.apply(c.DECODE_ALL(entry.data)[0])
-                self._results[self._referee.index] = result
-            else:
-                self._referee.index += 1
-        return self._results
-
     # --- the rule ---
 
     def acted(self, holder: Holder) -> None:
--- a/mastlift/lab/fleet.py
+++ b/mastlift/lab/fleet.py
@@ -47,14 +47,17 @@
 
 
 @contextlib.asynccontextmanager
-async def proxy(folder: Path, backends: dict[str, str], discovery: str = "127.0.0.1:1",
-                ) -> AsyncIterator[tuple[str, Child]]:
+async def proxy(folder: Path, backends: dict[str, str], discovery: str | list[str] = "127.0.0.1:1",
+                list_file: Path | None = None, must_ask: bool = False) -> AsyncIterator[tuple[str, Child]]:
     """A real proxy before the named backends; its address and process."""
     listen = free_address()
+    folder.mkdir(parents=True, exist_ok=True)
     members = [{"id": name, "host_port": address, "locality": "a", "flavor": "std", "cell": 0, "phase": "in_service",
                 "size": 1.0, "up_since_ms": 0} for name, address in backends.items()]
     config = {"name": "p1", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-              "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+              "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+              **({"list_file": str(list_file)} if list_file else {}),
+              "settings": {**SETTINGS, **({"discovery": "subscribe"} if must_ask else {})},
               "known": {"revision": 1, "complete": True, "members": members}}
     path = folder / "proxy.json"
     path.write_text(json.dumps(config))
@@ -66,14 +69,15 @@
 class Client:
     """Asks a proxy at a steady pace, each request at its time whatever became of the one before (open loop)."""
 
-    def __init__(self, address: str, per_s: float = 50.0) -> None:
-        self._address, self._pause = address, 1.0 / per_s
+    def __init__(self, address: str, per_s: float = 50.0, first: int = 0) -> None:
+        """`first` is where the numbers of its requests begin: they are its trace ids."""
+        self._address, self._pause, self._first = address, 1.0 / per_s, first
         self.answers: Counter[str] = Counter()
         self._asked: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         async with ClientSession(timeout=ClientTimeout(4.0)) as session:
-            number = 0
+            number = self._first
             try:
                 while True:
                     number += 1
--- a/mastlift/lab/groupsim.py
+++ b/mastlift/lab/groupsim.py
@@ -107,6 +107,9 @@
 class Group:
     """One schedule. `run` plays it; it raises Broken with the seed and the time at the first broken rule."""
 
+    KINDS: tuple[str, ...] = ("crash", "crash at sync", "crash at sync", "pause", "cut", "one way", "heal", "hand over",
+                              "replace", "grow", "shrink")
+
     def __init__(self, seed: int, members: int = 0, length_ms: float = 12_000.0, faults: Faults | None = None,
                  without: frozenset[int] = frozenset()) -> None:
         """`without` leaves out the faults of these numbers; the others stay as the seed draws them."""
@@ -503,8 +506,7 @@
         leader = self._leader()
         if leader is not None and rng.random() < 0.5:
             node = leader
-        kind = rng.choice(("crash", "crash at sync", "crash at sync", "pause", "cut", "one way", "heal", "hand over",
-                           "replace", "grow", "shrink"))
+        kind = rng.choice(self.KINDS)
         voters = self._newest_members().voters
         if kind == "crash" and node.up:
             self.crash(node)
@@ -537,8 +539,13 @@
         elif kind == "shrink" and len(voters) > 3 and self._settled():
             gone = rng.choice(voters)
             self.aim(lambda members: Members(tuple(v for v in members.voters if v != gone), members.learners))
+        else:
+            self.fault_of(kind, node, rng)
         self.seen[kind] += 1
 
+    def fault_of(self, kind: str, node: Node, rng: random.Random) -> None:
+        """Kinds that a schedule with more on it has beside these."""
+
     def _settled(self) -> bool:
         """Is each member that was emptied or added a voter by now, and no change on its way? Operators wait for that:
         more than a minority of emptied disks is a loss that no rule can mend."""
--- a/mastlift/lab/mutations.py
+++ b/mastlift/lab/mutations.py
@@ -12,9 +12,10 @@
 from mastlift.consensus import core, kept
 from mastlift.consensus.log import Log
 from mastlift.consensus.messages import AppendReply, Entry, Message, Vote, VoteReply
+from mastlift.discovery import hold, lists, teller
 from mastlift.durable import frames, journal
 from mastlift.duty import clock
-from mastlift.lab import dutysim, groupsim
+from mastlift.lab import dutysim, groupsim, leasesim
 from mastlift.lab.simdisk import SimDisk
 from mastlift.store.commands import Revoke
 from mastlift.store.machine import Store
@@ -125,7 +126,7 @@
     return [(lease, 1, one.renewals) for lease, one in node.store.leases.items()]
 
 
-def _end_whatever_came(self: dutysim.DutyGroup, revoke: Revoke) -> Revoke:
+def _end_whatever_came(self: leasesim.LeaseGroup, revoke: Revoke) -> Revoke:
     return Revoke(revoke.lease)
 
 
@@ -139,9 +140,51 @@
 DUTY_MUTATIONS: dict[str, tuple[Any, str, Any]] = {
     "lease-counted-from-answer": (dutysim.Holder, "renewed", _count_from_answer),
     "clock-not-asked": (clock.HolderClock, "state", _never_ask_the_clock),
-    "new-leader-ends-leases": (dutysim.DutyGroup, "_leases", staticmethod(_no_time_again)),
+    "new-leader-ends-leases": (leasesim.LeaseGroup, "_leases", staticmethod(_no_time_again)),
     "token-reused-after-restart": (groupsim, "load_snapshot", _count_anew),
-    "end-despite-renewal": (dutysim.DutyGroup, "ending", _end_whatever_came),
+    "end-despite-renewal": (leasesim.LeaseGroup, "ending", _end_whatever_came),
+}
+
+
+_answer, _load_lists, _after = teller.Teller.answer, lists.Lists.load, lists.Lists.after
+
+
+def _serve_who_is_ahead(self: teller.Teller, tier: str, index: int | None, same_life: bool,
+                        read: bool = False) -> teller.Say:
+    return _answer(self, tier, index, same_life, True)
+
+
+def _never_out_of_touch(self: teller.Teller, now: float) -> teller.Step:
+    return teller.Step.NOTHING if self.ready else teller.Step.CATCH_UP
+
+
+def _ready_at_once(self: teller.Teller, now: float) -> teller.Step:
+    self.caught_up(now)
+    return teller.Step.NOTHING
+
+
+def _all_may_end(self: hold.Hold, now: float, due: Any, listed: Any) -> set[int]:
+    return {one.lease for one in due}
+
+
+def _line_without_the_gone(self: lists.Lists, tier: str, ids: list[str]) -> bytes:
+    place = self._tier(tier)
+    members = [place.members[id_] for id_ in ids if id_ in place.members]
+    return lists.ENCODE(lists.Told(self.told_revision, False, members)) + b"\n"
+
+
+def _load_as_if_all_known(self: lists.Lists, revision: int, keys: Any, entries: Any, recent: Any = (),
+                          oldest: int | None = None) -> None:
+    _load_lists(self, revision, keys, entries, (), 0)
+
+
+LIST_MUTATIONS: dict[str, tuple[Any, str, Any]] = {
+    "ahead-is-served": (teller.Teller, "answer", _serve_who_is_ahead),
+    "cut-off-keeper-goes-on": (teller.Teller, "look", _never_out_of_touch),
+    "told-before-caught-up": (teller.Teller, "look", _ready_at_once),
+    "time-takes-all": (hold.Hold, "may_end", _all_may_end),
+    "gone-not-told": (lists.Lists, "_line", _line_without_the_gone),
+    "changes-lost-at-a-start": (lists.Lists, "load", _load_as_if_all_known),
 }
 
 
@@ -167,6 +210,6 @@
 @contextmanager
 def mutated(name: str) -> Iterator[None]:
     """Within this, the named rule is not kept. Raises KeyError for a name that is not known."""
-    owner, attribute, broken = (MUTATIONS | GROUP_MUTATIONS | DUTY_MUTATIONS | MEMBER_MUTATIONS)[name]
+    owner, attribute, broken = (MUTATIONS | GROUP_MUTATIONS | DUTY_MUTATIONS | LIST_MUTATIONS | MEMBER_MUTATIONS)[name]
     with mock.patch.object(owner, attribute, broken):
         yield
--- a/mastlift/lab/schedules.py
+++ b/mastlift/lab/schedules.py
@@ -13,7 +13,8 @@
 from mastlift.lab.crash import Broken
 from mastlift.lab.dutysim import DutyGroup, check_duties
 from mastlift.lab.groupsim import Group, check_group, shrink
-from mastlift.lab.mutations import DUTY_MUTATIONS, GROUP_MUTATIONS, mutated
+from mastlift.lab.listsim import ListGroup, check_lists
+from mastlift.lab.mutations import DUTY_MUTATIONS, GROUP_MUTATIONS, LIST_MUTATIONS, mutated
 
 AT_ONCE = 8  # schedules handed to a process together
 
@@ -28,7 +29,8 @@
 
 
 KINDS = {"consensus": Kind(check_group, lambda seed, without: Group(seed, without=without), tuple(GROUP_MUTATIONS)),
-         "duties": Kind(check_duties, DutyGroup, tuple(DUTY_MUTATIONS))}
+         "duties": Kind(check_duties, DutyGroup, tuple(DUTY_MUTATIONS)),
+         "discovery": Kind(check_lists, ListGroup, tuple(LIST_MUTATIONS))}
 
 
 @dataclass(slots=True)
