--- a/mastlift/consensus/driver.py
+++ b/mastlift/consensus/driver.py
@@ -157,7 +157,8 @@
             applied: asyncio.Future[None] = asyncio.get_running_loop().create_future()
             self._read_after.append((index, applied))
             try:
-                await asyncio.wait_for(applied, APPLY_S)
+                async with asyncio.timeout(APPLY_S):
+                    await applied
             except TimeoutError:
                 raise Outdated("this member is behind the others") from None
 
@@ -188,6 +189,7 @@
 
     def dump(self) -> tuple[int, int, Iterator[bytes]]:
         """For a snapshot: the record that it covers, the index of its state, and its blocks."""
+        self._commit.fence()
         return self._submitted, self.replica.index, kept.dump(
             self.core.id, self.state.group, self.core.term, self.core.vote, self.core.log, self.state.store)
 
--- a/mastlift/discovery/service.py
+++ b/mastlift/discovery/service.py
@@ -244,7 +244,8 @@
         order, began, was = self.service.order, now_ms(), self.teller.ready
         assert order is not None
         try:
-            await asyncio.wait_for(order.read_barrier(), self.section.wait_s)
+            async with asyncio.timeout(self.section.wait_s):
+                await order.read_barrier()
             self.catch_up()
             if not self.lists.base and order.leads:
                 await self.service.propose(c.Envelope(c.Put(
--- a/mastlift/durable/commit.py
+++ b/mastlift/durable/commit.py
@@ -38,6 +38,8 @@
         self._thread = ThreadPoolExecutor(1, "log")
         self._task = asyncio.create_task(self._run())
         self._stopping = self._no_room = False
+        self._submitted = self._taken = 0
+        self._fences: deque[int] = deque()
         self.groups = 0
 
     def __len__(self) -> int:
@@ -49,17 +51,27 @@
         if self._stopping:
             raise RuntimeError("the log is being closed")
         self._waiting.append((item, size))
+        self._submitted += 1
         self.waiting_bytes += size
         self._wake.set()
 
+    def fence(self) -> None:
+        """What was submitted so far and what comes later go in different groups: a snapshot that covers the one and
+        not the other must end where a frame of the log does."""
+        self._fences.append(self._submitted)
+
     def _take(self) -> list[T]:
         taken: list[T] = []
         size, waiting = 0, self._waiting
-        while waiting and len(taken) < self.group_items and size < GROUP_BYTES:
+        while self._fences and self._fences[0] <= self._taken:
+            self._fences.popleft()
+        most = min(self.group_items, self._fences[0] - self._taken) if self._fences else self.group_items
+        while waiting and len(taken) < most and size < GROUP_BYTES:
             item, weight = waiting.popleft()
             taken.append(item)
             size += weight
         self.waiting_bytes -= size
+        self._taken += len(taken)
         return taken
 
     async def _run(self) -> None:
@@ -99,7 +111,8 @@
     async def _idle(self, loop: asyncio.AbstractEventLoop) -> None:
         pause = None if self.journal.marked else 1.0 if self._no_room else MARK_AFTER_S
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._wake.wait(), pause)
+            async with asyncio.timeout(pause):
+                await self._wake.wait()
             return
         try:
             await loop.run_in_executor(self._thread, self.journal.mark)
--- a/mastlift/keeper/renewals.py
+++ b/mastlift/keeper/renewals.py
@@ -62,8 +62,9 @@
             self._more.clear()
             next_ = min((kept.due for kept in self._kept.values()), default=None)
             if next_ is None or next_ > loop.time():
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._more.wait(), None if next_ is None else next_ - loop.time())
+                with contextlib.suppress(TimeoutError):  # not wait_for: it may lose a cancellation (CPython 3.11)
+                    async with asyncio.timeout_at(next_):
+                        await self._more.wait()
                 continue
             now = loop.time()
             together = sorted((kept for kept in self._kept.values()
--- a/mastlift/keeper/service.py
+++ b/mastlift/keeper/service.py
@@ -226,7 +226,8 @@
         """Wait until the store is past `revision`; False when the time is up first."""
         if self.store.revision <= revision and not self.stopping:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), wait_s)
+                async with asyncio.timeout(wait_s):  # not wait_for: it may lose a cancellation (CPython 3.11)
+                    await self._changed.wait()
         return self.store.revision > revision
 
     # --- snapshots ---
--- a/mastlift/lab/cli.py
+++ b/mastlift/lab/cli.py
@@ -53,7 +53,7 @@
 
     from mastlift.lab.crash import Broken, History, Tally, check_history
     from mastlift.lab.damage import check_damage
-    from mastlift.lab.membercrash import MemberHistory
+    from mastlift.lab.membercrash import MemberHistory, check_commits
     from mastlift.lab.mutations import MEMBER_MUTATIONS, MUTATIONS, mutated
 
     if of not in ("keeper", "member"):
@@ -71,6 +71,8 @@
                 check_history(number, tally, draw=draw)
                 if of == "keeper":
                     damage += check_damage(number)
+                else:
+                    tally.recoveries += check_commits(number)
             except Broken as error:
                 broken.append(f"{error}  (replay: mastlift lab crash --of {of} --runs 1 --seed {number}"
                               + (f" --mutation {mutation})" if mutation else ")"))
--- a/mastlift/lab/membercrash.py
+++ b/mastlift/lab/membercrash.py
@@ -7,15 +7,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from concurrent.futures import Executor, Future
 from dataclasses import dataclass
+from typing import Any
+from unittest import mock
 
 from mastlift.consensus import kept
 from mastlift.consensus.log import Log
 from mastlift.consensus.messages import Entry, Members
-from mastlift.durable.journal import Journal
-from mastlift.lab.crash import Broken, History, digest, draw_commands
+from mastlift.durable import commit as commit_
+from mastlift.durable.commit import GroupCommit
+from mastlift.durable.journal import Journal, open_journal
+from mastlift.lab.crash import LIFE, SEGMENT_BYTES, Broken, History, Run, digest, draw_commands
+from mastlift.lab.simdisk import Loss, SimDisk
 from mastlift.store import commands as c
 from mastlift.store.machine import Store
 
@@ -114,3 +121,71 @@
             raise Broken(f"{where}: {log.members()} take part, by the log of record {subject.index} others do")
         if digest(subject.store) != self.bases[log.base]:
             raise Broken(f"{where}: the state of the snapshot is not that of entry {log.base}")
+
+
+class _Inline(Executor):
+    """In place of the log's thread: what is submitted is done at once, so that one seed replays one run."""
+
+    def __init__(self, *_: object) -> None:
+        """As a pool of one thread is made."""
+
+    def submit(self, fn: Callable[..., Any], /, *args: Any, **kwargs: Any) -> Future[Any]:
+        future: Future[Any] = Future()
+        try:
+            future.set_result(fn(*args, **kwargs))
+        except Exception as error:
+            future.set_exception(error)
+        return future
+
+
+async def _commit_groups(history: MemberHistory, disk: SimDisk, rng: random.Random) -> list[tuple[SimDisk, int]]:
+    """A member's records through the group commit, with snapshots begun at any moment; images of the disk, each with
+    how many records were durable by then."""
+    subject, images, durable = history.subject(), list[tuple[SimDisk, int]](), [0]
+    journal, _ = open_journal(disk, "a", subject, lambda: LIFE, segment_bytes=SEGMENT_BYTES)
+
+    def done(first: int, group: list[kept.Record]) -> None:
+        durable[0] = first + len(group) - 1
+
+    def image() -> None:
+        images.append((disk.image(), durable[0]))
+
+    disk.on_step = image
+    commit: GroupCommit[kept.Record] = GroupCommit(journal, history.encode, done, lambda group, error: True,
+                                                   lambda error: None)
+    begun: tuple[int, list[bytes]] | None = None
+    for record in history.commands:
+        commit.submit(record, 50)
+        subject.apply(record)
+        if begun is None and rng.random() < 0.2:
+            commit.fence()
+            begun = subject.index, list(subject.dump())
+        while rng.random() < 0.3:
+            await asyncio.sleep(0)
+        if begun is not None and durable[0] >= begun[0]:
+            writer = journal.snapshot_writer(begun[0])
+            for block in begun[1]:
+                writer.write(block)
+            writer.finish()
+            journal.snapshot_done(begun[0])
+            begun = None
+    await commit.stop()
+    disk.on_step = lambda: None
+    image()
+    return images
+
+
+def check_commits(seed: int) -> int:
+    """The group commit under snapshots that begin while records wait; recoveries that were looked at. Raises Broken."""
+    history, rng = MemberHistory(seed), random.Random(seed)
+    with mock.patch.object(commit_, "ThreadPoolExecutor", _Inline):
+        images = asyncio.run(_commit_groups(history, SimDisk(seed), rng))
+    for step, (disk, durable) in enumerate(images):
+        where = f"seed {seed}, step {step}"
+        run = Run(history, disk.crash(rng.choice(list(Loss)), rng), rng)
+        try:
+            run.start()
+        except Exception as error:
+            raise Broken(f"{where}: {durable} records were durable; the start says: {error}") from error
+        history.check(run.store, durable, len(history.commands), where)
+    return len(images)
--- a/mastlift/lab/mutations.py
+++ b/mastlift/lab/mutations.py
@@ -13,7 +13,7 @@
 from mastlift.consensus.log import Log
 from mastlift.consensus.messages import AppendReply, Entry, Message, Vote, VoteReply
 from mastlift.discovery import hold, lists, teller
-from mastlift.durable import frames, journal
+from mastlift.durable import commit, frames, journal
 from mastlift.duty import clock
 from mastlift.lab import dutysim, groupsim, leasesim
 from mastlift.lab.simdisk import SimDisk
@@ -202,6 +202,7 @@
 
 MEMBER_MUTATIONS: dict[str, tuple[Any, str, Any]] = {
     "ack-before-sync": MUTATIONS["ack-before-sync"],
+    "snapshot-within-a-frame": (commit.GroupCommit, "fence", lambda self: None),
     "snapshot-without-vote": (kept, "dump", _dump_without_vote),
     "snapshot-without-tail": (kept, "dump", _dump_without_tail),
 }
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -20,7 +20,7 @@
 from mastlift.durable.snapshot import SnapshotReader, snapshot_index
 from mastlift.lab.crash import COMMANDS, LIFE, SEGMENT_BYTES, Broken, History, Run, Tally, check_history, digest
 from mastlift.lab.damage import check_damage, settled
-from mastlift.lab.membercrash import MemberHistory
+from mastlift.lab.membercrash import MemberHistory, check_commits
 from mastlift.lab.mutations import MEMBER_MUTATIONS, MUTATIONS, mutated
 from mastlift.lab.simdisk import Loss, SimDisk
 from mastlift.store.machine import Store
@@ -41,6 +41,7 @@
     tally = Tally()
     for seed in range(2):
         check_history(seed, tally, thorough=False, draw=MemberHistory)
+    assert sum(map(check_commits, range(12))) > 500
     assert tally.crash_points > 300 and tally.second_crashes > 300
 
 
@@ -48,6 +49,7 @@
 def test_a_rule_of_members_broken_on_purpose_is_found(name: str) -> None:
     with mutated(name), pytest.raises(Broken):
         for seed in SEEDS:
+            check_commits(seed)
             check_history(seed, Tally(), draw=MemberHistory)
 
 
