--- a/mastlift/lab/benches/consensus.py
+++ b/mastlift/lab/benches/consensus.py
@@ -25,7 +25,7 @@
 from mastlift.lab.chaos import ChaosGroup, running
 from mastlift.lab.groupsim import Faults, Group
 from mastlift.lab.plots import Report
-from mastlift.lab.processes import free_address
+from mastlift.lab.processes import cpu_s, free_address
 
 CLIENTS = 256
 
@@ -113,12 +113,6 @@
     return {"release_ms_p50": median(took), "release_ms_p99": took[len(took) * 99 // 100]}
 
 
-def _cpu(pid: int) -> float:
-    """Seconds of processor time that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 async def _renewals(seconds: float) -> Figures:
     """Processor time of the leader for each renewal, with 10,000 leases over with 100."""
     costs = {}
@@ -133,9 +127,9 @@
                 first = min(ids)
                 assert max(ids) - first == leases - 1
                 place = group.places[await group.leader()]
-                before = _cpu(place.child.process.pid)
+                before = cpu_s(place.child.process.pid)
                 done = await asyncio.to_thread(rate, place.relay.target, 32, seconds, f"renew:{first}:{leases}")
-                costs[leases] = (_cpu(place.child.process.pid) - before) / (done * seconds)
+                costs[leases] = (cpu_s(place.child.process.pid) - before) / (done * seconds)
     return {"renewals_cost_10000_vs_100": costs[10_000] / costs[100], "renewal_cpu_us": costs[100] * 1e6}
 
 
--- a/mastlift/lab/processes.py
+++ b/mastlift/lab/processes.py
@@ -24,6 +24,12 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
+def cpu_s(pid: int) -> float:
+    """Seconds of processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 class Child:
     """A process of the program and the events of its log."""
 
