Show a proxy that starts without keepers, succession after a crash, and calls when all are gone

Need: three cases of the operators were not shown: a proxy whose keepers are all dead at its start, the time to the next holder after a crash against ttl and an election, and the calls of 500 proxies none of whose addresses answers. Change: the scenario proxy-starts-alone, figures in both benches, damping shown with a server that is killed three times.

--- a/mastlift/discovery/service.py
+++ b/mastlift/discovery/service.py
@@ -277,7 +277,7 @@
         if say is Say.NOT_NOW:
             return self._no("not in touch", random.uniform(0.2, 0.6))
         if say is Say.WHOLE and (wait := self._admission.take(time.monotonic())):
-            return self._no("too many whole lists", wait + random.uniform(0.0, 0.2))
+            return self._no("too many whole lists", wait)
         headers = {"Content-Type": "application/json", LIFE: self.service.life}
         if not watching:
             return web.Response(body=self.lists.whole(tier), headers=headers)
--- a/mastlift/lab/benches/consensus.py
+++ b/mastlift/lab/benches/consensus.py
@@ -113,6 +113,31 @@
     return {"release_ms_p50": median(took), "release_ms_p99": took[len(took) * 99 // 100]}
 
 
+async def _succession(group: ChaosGroup, times: int) -> Figures:
+    """From a holder's crash to the next holder's token, over ttl and the longest election; every second time the
+    leading keeper is killed in the same moment."""
+    ttl_ms, took = 1000, list[float]()
+    for number in range(times):
+        async with KeeperClient(group.keepers) as one, KeeperClient(group.keepers) as two:
+            holding, waiting = Duty(one, f"crash-{number}", "one", ttl_ms), Duty(two, f"crash-{number}", "two", ttl_ms)
+            await holding.take()
+            taking = asyncio.create_task(waiting.take())
+            await asyncio.sleep(0.2)
+            started = time.perf_counter()
+            await one.renewals.close()  # nothing more comes from this one
+            lost = group.places[await group.leader()] if number % 2 else None
+            if lost is not None:
+                await lost.kill()
+            await taking
+            took.append((time.perf_counter() - started) * 1000)
+            await waiting.leave()
+            if lost is not None:
+                await lost.start()
+                await group.settled(3)
+    return {"succession_max_vs_ttl_and_election": max(took) / (ttl_ms + 2 * r.Timing().election),
+            "succession_ms_max": max(took)}
+
+
 async def _renewals(seconds: float) -> Figures:
     """Processor time of the leader for each renewal, with 10,000 leases over with 100."""
     costs = {}
@@ -183,6 +208,7 @@
                 await _by_clients(alone, leader, report)
             figures |= await _release(three, 25 if quick else 200)
             figures |= await _failover_real(three, 3 if quick else 20, times)
+            figures |= await _succession(three, 4 if quick else 20)
     figures |= await _storm(500, 2.0 if quick else 10.0)
     return figures | await _renewals(1.0 if quick else 6.0)
 
--- a/mastlift/lab/benches/discovery.py
+++ b/mastlift/lab/benches/discovery.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from statistics import median
 from typing import Any
+from unittest import mock
 
 import msgspec
 import uvloop
@@ -271,6 +272,33 @@
     return {"herd_back_s": back, "herd_clients": clients}
 
 
+async def _all_gone(clients: int, seconds: float) -> Figures:
+    """Calls per second of so many proxies' clients, none of whose three addresses answers, once their pauses grew."""
+    from cometdoor import discovery
+    from cometdoor.config import read_address
+
+    calls = [0]
+
+    class Counted(discovery.WatchConnection):
+        def open(self, address: tuple[str, int]) -> None:
+            calls[0] += 1
+            super().open(address)
+
+    gone = read_address(free_address())
+    addresses = [gone, ("127.0.0.2", gone[1]), ("127.0.0.3", gone[1])]
+    with mock.patch.object(discovery, "WatchConnection", Counted):
+        each = [discovery.Discovery(asyncio.get_running_loop(), addresses, discovery.ListReader([], []), False, {},
+                                    lambda change, found: None) for _ in range(clients)]
+        for one in each:
+            one.start()
+        await asyncio.sleep(6.0)
+        before = calls[0]
+        await asyncio.sleep(seconds)
+        for one in each:
+            one.stop()
+    return {"calls_per_s_of_500_proxies_all_gone": (calls[0] - before) / seconds}
+
+
 async def _renewals(servers: int, ttl_ms: int, seconds: float) -> Figures:
     """Share of one core that a keeper uses for the renewals of so many servers, and over the cost of one call each."""
     with tempfile.TemporaryDirectory(prefix="mastlift-bench-") as folder:
@@ -298,6 +326,7 @@
     steps: list[tuple[str, Callable[[], Awaitable[Figures]]]] = [
         ("fan-out", lambda: _fanout(2000, 2000, 60 if quick else 400)),
         ("herd", lambda: _herd(2000, 2000)),
+        ("all gone", lambda: _all_gone(500, 3.0 if quick else 20.0)),
         ("renewals", lambda: _renewals(10_000, 10_000, 4.0 if quick else 20.0))]
     tell("cost by servers")
     figures |= cost_by_servers(200 if quick else 2000)
--- a/mastlift/lab/listfaults.py
+++ b/mastlift/lab/listfaults.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import random
+import shutil
 import signal
+import sys
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -15,7 +17,8 @@
 
 from mastlift.discovery import registration
 from mastlift.keeper.client import Refused, Unreachable
-from mastlift.lab.listfleet import TIER, ListFleet, list_fleet
+from mastlift.lab.fleet import Client, proxy
+from mastlift.lab.listfleet import OF_A_PROXY, TIER, ListFleet, list_fleet
 from mastlift.lab.processes import ROOT
 from mastlift.lab.relay import CLIENTS
 
@@ -193,9 +196,30 @@
     await asyncio.gather(*(place.start() for place in places))
 
 
-async def _mastlift(*arguments: str) -> None:
-    import sys
+async def proxy_starts_alone(fleet: ListFleet, scale: float) -> None:
+    """No keeper answers when a proxy starts; what it has is the list that another start of it kept in a file."""
+    places = list(fleet.group.places.values())
+    folder = places[0].folder.parent.parent
+    await asyncio.sleep(1.5)  # lists are written to their files within a second
+    await asyncio.gather(*(place.kill() for place in places))
+    addresses = [fleet.lists[f"p0-{name}"].address for name in fleet.group.places]
+    kept = folder / "alone" / "list"
+    kept.parent.mkdir(exist_ok=True)
+    shutil.copy(folder / "p0" / "list", kept)
+    async with proxy(folder / "alone", {}, addresses, kept) as (address, _):
+        client = Client(address, 30.0, OF_A_PROXY * 100)
+        asking = asyncio.create_task(client.run())
+        await asyncio.sleep(3.0 * scale)
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+    served, asked = client.served()
+    fleet.notes["a_proxy_started_alone"] = f"served {served} of {asked} by its last list"
+    if served < asked or not asked:
+        fleet.witness.broken.append(f"a proxy started alone: {dict(client.answers)}")
+    await asyncio.gather(*(place.start() for place in places))
+
 
+async def _mastlift(*arguments: str) -> None:
     process = await asyncio.create_subprocess_exec(sys.executable, "-m", "mastlift", *arguments, cwd=ROOT,
                                                    stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE)
     _, said = await process.communicate()
@@ -206,7 +230,8 @@
 Scenario = Callable[[ListFleet, float], Awaitable[None]]
 SCENARIOS: dict[str, Scenario] = {one.__name__.replace("_", "-"): one for one in (
     nothing, leader_dies, two_of_three_die, all_die_and_one_disk_is_lost, cut_from_peers, cut_from_clients,
-    cut_one_way, paused_and_wakes, half_replaced, drained_as_the_teller_dies, five_hundred_at_once, backup_restored)}
+    cut_one_way, paused_and_wakes, half_replaced, drained_as_the_teller_dies, five_hundred_at_once, proxy_starts_alone,
+    backup_restored)}
 
 
 @dataclass(slots=True)
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -263,10 +263,12 @@
                 assert await asyncio.wait_for(four.process.wait(), 10) == 1
                 await four.event("never_answered")
             assert await listed(lists) == {}
-            async with serving_as(listen, "five") as five:  # its whole machine is gone, without a word
-                await until(lists, {"five": "in_service"})
-                await five.end(signal.SIGKILL)
-                await until(lists, {})
+            for starts in range(3):  # its whole machine is gone, without a word, again and again
+                async with serving_as(listen, "five") as five:
+                    await until(lists, {"five": "in_service"})
+                    assert any(event["event"] == "damped" for event in five.events) == (starts == 2)
+                    await five.end(signal.SIGKILL)
+                    await until(lists, {})
     run(test)
 
 
