--- a/mastlift/keeper/client.py
+++ b/mastlift/keeper/client.py
@@ -18,6 +18,7 @@
 from mastlift.store.commands import Entry
 
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.05, 2.0
+SHORTEST_CALL_PAUSES = 5.0  # in its deadline at least: a renewal that may take half a lease must not sleep through it
 AGAIN = frozenset({429, 502, 503, 504, 507})
 SILENT_S = 15.0  # a watch is told something every 5 s
 ATTEMPT_S = 3.0  # for one keeper's answer, then the next one is asked: one that hangs must not use up the whole call
@@ -82,7 +83,7 @@
         assert self._http is not None
         loop, within = asyncio.get_running_loop(), deadline_s or self.deadline_s
         end, pause, last = loop.time() + within, FIRST_PAUSE_S, "no try"
-        attempt = min(self.attempt_s, within / 2)
+        attempt, longest = min(self.attempt_s, within / 2), min(LONGEST_PAUSE_S, within / SHORTEST_CALL_PAUSES)
         while (left := end - loop.time()) > 0:
             wanted, keeper = pause * self._random.uniform(0.5, 1.5), self._keepers[0]
             try:
@@ -102,7 +103,7 @@
                 if not again and not isinstance(error, aiohttp.ClientConnectorError):
                     break
             self._go_on_from(keeper)
-            pause = min(pause * 2, LONGEST_PAUSE_S)
+            pause = min(pause * 2, longest)
             await asyncio.sleep(min(wanted, max(0.0, end - loop.time())))
         raise Unreachable(f"no keeper of {', '.join(sorted(self._keepers))} answered within {within:g} s: "
                           f"{last}")
