Hold the property of held servers to the lease time less what floats round away

Cause: the full run of the tests found an example where 1001.13 minus 1.13 is a rounding below 1000, so that the test counted two ends within one lease time of which the rule had counted one. Measured: 3,000 drawn examples of both properties pass.

--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -135,7 +135,7 @@
             if due.pop(lease, None):
                 listed.discard(lease)
                 went.append(now)
-        within = [at for at in went if at > now - 1000]
+        within = [at for at in went if at > now - 1000 + 1e-6]  # to the time itself, less what floats round away
         assert len(within) <= max(1, int(share * (len(listed) + len(within))))
     assert not due or hold.held["t"] == len(due)
 
