--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -158,16 +158,20 @@
 
     def _known(self, reader: ListReader) -> dict[str, Any]:
         """The list in the configuration, or the one that was kept last, if that is newer."""
-        known: dict[str, Any] = {}
-        kept = read_list(self._config.list_file) if self._config.list_file else {}
-        for what, told in (("in the configuration", self._config.known), ("that was kept", kept)):
-            try:
-                reader.read(told)
-                if int(told.get("revision") or 0) >= int(known.get("revision") or 0):
-                    known = told
-            except (KeyError, ValueError, TypeError, AttributeError) as problem:
-                log.error("the list %s is of no use: %s: %s", what, type(problem).__name__, problem)
-        return known
+        known = self._usable(self._config.known, "in the configuration", reader)
+        if self._config.list_file is None:
+            return known
+        kept = self._usable(read_list(self._config.list_file), "that was kept", reader)
+        return kept if int(kept.get("revision") or 0) > int(known.get("revision") or 0) else known
+
+    @staticmethod
+    def _usable(told: dict[str, Any], what: str, reader: ListReader) -> dict[str, Any]:
+        try:
+            reader.read(told)
+        except (KeyError, ValueError, TypeError, AttributeError) as problem:
+            log.error("the list %s is of no use: %s: %s", what, type(problem).__name__, problem)
+            return {}
+        return told
 
     def _can_use(self, told: dict[str, Any], reader: ListReader) -> bool:
         """Another version may have written it: it is tried out on a module that is thrown away."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -177,7 +177,7 @@
     return {"name": "n1", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "a_key_to_come": {},
             **{name: settings.pop(name) for name in ("list_file",) if name in settings},
-            "known": {"revision": 41, "complete": True, "members": list(members)},
+            "known": {"revision": settings.pop("known_revision", 41), "complete": True, "members": list(members)},
             "settings": {**INFO, "lanes": LANES, "limits": limits, **settings}}
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -242,6 +242,10 @@
                               list_file=str(path))
             cached = await script.until(api.ListChanged)
             assert [server.name for server in cached.servers] == ["s7"]
+        with Script().in_place() as script:  # a list of revision 0 in the configuration counts, with no file beside it
+            script.react = lambda event: []
+            await Rig().start(member("s1", "127.0.0.1:9"), asked=False, known_revision=0)
+            assert [server.name for server in (await script.until(api.ListChanged)).servers] == ["s1"]
         data = path.read_bytes()
         path.write_bytes(data[:-3] + b"x" + data[-2:])
         assert read_list(path) == {}
