Never make a place without a lease; register again when a lease ended on the way

Found by reading: say() of a server that is not listed compared its lease 0 with that of a key that does not exist, which is 0 too, and would have made a place that nothing ends; a lease that ended while keepers were away in the middle of registering ended serve-as; each repeat counted as a start and was damped. Change: only a listed server changes its phase; serve-as tries again; a series of tries counts once.

--- a/mastlift/discovery/registration.py
+++ b/mastlift/discovery/registration.py
@@ -74,11 +74,14 @@
         self.standing = Standing.OUT
         self.changed = asyncio.Event()
         self._again: asyncio.Task[None] | None = None
+        self._waited = False  # counted as a start, and damped; not again when keepers fail in between
         self.log = get_logger("registration").bind(tier=place.tier, id=place.id)
 
     async def enter(self) -> Standing:
-        """Be listed; REPLACED where one that started later is there. Raises Refused, Unreachable."""
-        await self._damp()
+        """Be listed; REPLACED where one that started later is there. Raises Refused, Unreachable: call it again."""
+        if not self._waited:
+            await self._damp()
+            self._waited = True
         self.lease = await self.client.grant(self.ttl_ms)
         while True:
             there = await self.client.get(self.key)
@@ -98,6 +101,7 @@
                 await self.client.revoke(there.lease)
         self.client.renewals.keep(Kept(self.lease, self.ttl_ms / 5.0, self._unix_ms, lambda sent: None, self._gone,
                                        lambda: self.log.warning("no_keeper")))
+        self._waited = False
         self._stand(Standing.LISTED)
         self.log.info("listed", token=self.token, revision=told["revision"])
         return self.standing
@@ -136,6 +140,8 @@
 
     async def say(self, phase: Phase) -> int:
         """Change the phase that this server says; the revision. Raises Refused where the place is not its any more."""
+        if self.standing is not Standing.LISTED:  # a lease of 0 would match a key that does not exist
+            raise Refused(412, {"error": "not_listed", "message": f"{self.key} is not listed"})
         self.place.registered = replace(self.place.registered, phase=phase)
         told = await self.client.txn([{"key": self.key, "field": "lease", "number": self.lease}],
                                      [{"put": {"key": self.key, "value": self._value(), "lease": self.lease}}])
--- a/mastlift/discovery/serve_as.py
+++ b/mastlift/discovery/serve_as.py
@@ -15,7 +15,7 @@
 from msgspec.structs import replace
 
 from mastlift.discovery.lists import Phase
-from mastlift.discovery.registration import Place, Registration, Standing
+from mastlift.discovery.registration import AGAIN_S, Place, Registration, Standing
 from mastlift.keeper.client import KeeperClient, Refused, Unreachable
 from mastlift.keeper.command import NO
 from mastlift.logs import get_logger
@@ -109,5 +109,6 @@
         try:
             await registration.enter()
             return True
-        except Unreachable as error:
+        except (Refused, Unreachable) as error:  # a lease or session that ended while keepers were away, too
             registration.log.warning("not_listed", reason=str(error))
+            await asyncio.sleep(AGAIN_S)
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -22,7 +22,7 @@
 from mastlift.discovery.lists import Lists, Phase, Registered, Told, drain_key, list_key
 from mastlift.discovery.registration import Flaps, Place, Registration, Standing, damp_s, servers
 from mastlift.discovery.service import Admission
-from mastlift.keeper.client import KeeperClient
+from mastlift.keeper.client import KeeperClient, Refused
 from mastlift.lab.listfaults import SCENARIOS, play_lists
 from mastlift.lab.listfleet import ListFleet, Witness
 from mastlift.lab.processes import Child, free_address, keeper, keeper_settings, started
@@ -291,6 +291,8 @@
             assert "HELD: " in await _held(child, listen)
             assert len(await listed(lists)) >= 12
             await all_[15].leave()
+            with pytest.raises(Refused, match="not listed"):
+                await all_[15].say(Phase.TERMINATING)  # must not make a place without a lease
             await all_[14].say(Phase.TERMINATING)
             await asyncio.to_thread(mastlift, "servers", "rm", "front/s0", "--keepers", listen)
             now = await listed(lists)
