Notice a silent watch after 2.25 s and ask anew within half of the 6 s

Asked-for lists; 14 of 18 watches fall silent at 1.00 s, the drain is made at 1.89 s, all counts as told at 7.00 s, sends must end by 7.30 s.

Three parts, each of which is enough to be late: 5.0 s until silence is noticed; then the module's drawn pause, up to a quarter of ask_within (here 2.35 s), which knew nothing of the 6 s; then a discovery that answers in turn, 0.205 s a call, 2.9 s for all 14. With 229 proxies it takes 16.3 ms a call, 3.7 s for all: by the sum 5.0 + 2.5 + 3.7 s it can't hold. Ruled out: connect (1 ms), the lines' own lateness (2.000 to 2.001 s apart on 8,500 gaps of loaded fleets), sends that wait (each late one left at once). Lines at fault: SILENCE_S and _check_silence in cometdoor/discovery.py, _list_changed in jasperhall/balancer.py, on the pushed side the pause in Discovery.ended.

Now silence shows after 2.25 s, is told with how long it lasts, and the next call is drawn within half of what is left of the 6 s; the other half is for the line. The silent watch is kept until then and a line on it calls the call off, so a late line costs nothing. A call without any answer is silent after 3 s, doubling while none comes.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -21,12 +22,21 @@
 from cometdoor.config import Address, read_address
 from cometdoor.listfile import write_list
 from cometdoor.sources import FIRST_ANSWER_S, Sources
-from jasperhall.api import ListChanged, ListKind, Server, State
+from jasperhall.api import NEWS_DUE_MS, ListChanged, ListKind, Server, State
+from jasperhall.balancer import LINE_SHARE
 
 log = logging.getLogger(__name__)
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
-SILENCE_S = 5.0  # a watch says something every 2 s; one that doesn't for so long is broken
+# A watch says something every 2 s; the rest is for the way here and for a loop that gets round to it late. What a
+# silent watch misses counts as told 6 s after it was last heard, and sends have to end 250 ms later: until then all
+# proxies have to be served anew by a discovery that answers in turn, so every moment here is one less for that.
+SILENCE_S = 2.0 + 0.25
+# The first answer waits its turn, and one that asks anew goes to the end of the line. With a call that was silent from
+# its start, as much is left of the 6 s for the next.
+FIRST_LINE_S, LONGEST_FIRST_LINE_S = 3.0, 12.0
+NEWS_DUE_S = NEWS_DUE_MS / 1000.0
+SEVERAL_SILENCE_S = 3.0  # of one of several addresses: 6 s less a hop, FIRST_ANSWER_S, another hop, and an answer
 MAX_LINE = 8 << 20
 KEEP_EVERY_S = 1.0  # a list that changes is written to its file no more often
 LIFE = "Mastlift-Life"  # names the history that revisions are of, where discovery says it
@@ -79,13 +89,15 @@
 class WatchConnection(asyncio.Protocol):
     """One call: a chunked answer of one JSON object a line, until the connection ends."""
 
-    def __init__(self, owner: Discovery, target: str, host: str, life: str = "", patience_s: float = SILENCE_S) -> None:
+    def __init__(self, owner: Discovery, target: str, host: str, life: str = "",
+                 patience_s: float = FIRST_LINE_S) -> None:
         """`life`: of the history that the index in the target is of; `patience_s` for the first byte of the answer."""
         self._owner = owner
         self._head = (f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n"
                       + (f"{LIFE}: {life}\r\n" if life else "") + "\r\n").encode()
         self.life = ""  # what the answer says
         self._patience_s = patience_s
+        self._silent = False  # told to be, and not heard since
         self._parser = httptools.HttpResponseParser(self)
         self._line = bytearray()
         self._transport: asyncio.Transport | None = None
@@ -112,7 +124,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._heard_at = self._owner.loop.time()
-        self._patience_s = SILENCE_S
+        self._patience_s = self._owner.silence_s
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
@@ -125,6 +137,10 @@
     def on_body(self, body: bytes) -> None:
         if self._ended or self._parser.get_status_code() != 200:
             return
+        if self._silent:
+            self._silent = False
+            self._silence = self._owner.loop.call_later(self._patience_s, self._check_silence)
+            self._owner.heard_again(self)
         self._line += body
         if len(self._line) > MAX_LINE:
             self.end("a line without end")
@@ -145,6 +161,9 @@
         except (ValueError, KeyError, TypeError, AttributeError) as problem:
             self.end(f"a line not understood: {type(problem).__name__}: {problem}")
 
+    def is_unanswered(self) -> bool:
+        return self._parser.get_status_code() == 0
+
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
         if status >= 200:
@@ -158,9 +177,11 @@
 
     def _check_silence(self) -> None:
         """Guards against a discovery machine that vanished: its connection stays open and says nothing."""
-        left = self._heard_at + self._patience_s - self._owner.loop.time()
+        now = self._owner.loop.time()
+        left = self._heard_at + self._patience_s - now
         if left <= 0:
-            self.end("silent")
+            self._silent = True
+            self._owner.fell_silent(self, now - self._heard_at)
         else:
             self._silence = self._owner.loop.call_later(left, self._check_silence)
 
@@ -194,10 +215,16 @@
         self._deliver = deliver
         self._watch: WatchConnection | None = None
         self._pause_s = FIRST_PAUSE_S
-        self._moving: asyncio.TimerHandle | None = None
+        self._first_line_s = FIRST_LINE_S
+        self._news_due = math.inf  # when what a silent watch missed counts as told
+        self._moving: asyncio.TimerHandle | None = None  # the next call, where it is not the module's to order
         self._list_file = list_file
         self._keeping: asyncio.TimerHandle | None = None
 
+    @property
+    def silence_s(self) -> float:
+        return SEVERAL_SILENCE_S if self._sources.several else SILENCE_S
+
     def start(self) -> None:
         if not self._must_ask:
             self.watch()
@@ -210,7 +237,7 @@
         host, port = self._sources.current
         target, name = f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}"
         self._watch = (WatchConnection(self, target, name, self._life, FIRST_ANSWER_S) if self._sources.several
-                       else WatchConnection(self, target, name))
+                       else WatchConnection(self, target, name, patience_s=self._first_line_s))
         self._watch.open((host, port))
 
     def whole_list(self) -> dict[str, Any]:
@@ -272,6 +299,8 @@
             else:
                 self._members[member["id"]] = member
         self._pause_s = FIRST_PAUSE_S
+        self._first_line_s = FIRST_LINE_S
+        self._news_due = math.inf
         self._sources.worked()
         self._strange = 0
         if self._watch is not None:
@@ -292,14 +321,41 @@
         if self._must_ask:
             self._deliver(ListChanged(ListKind.FAILED), {})
             return
-        self.loop.call_later(self._pause_s * random.uniform(0.5, 1.0), self._watch_again)
+        self._call_after(self._pause_s * random.uniform(0.5, 1.0))
         self._pause_s = min(2.0 * self._pause_s, LONGEST_PAUSE_S)
 
+    def fell_silent(self, watch: WatchConnection, silent_s: float) -> None:
+        """It is kept until the next call, which all proxies make at a moment of their own."""
+        if watch is not self._watch:
+            return
+        if self._sources.several:
+            watch.end("silent")
+            return
+        log.info("discovery: silent for %.2f s", silent_s)
+        if watch.is_unanswered():
+            self._first_line_s = min(2.0 * self._first_line_s, LONGEST_FIRST_LINE_S)
+        if self._must_ask:
+            self._deliver(ListChanged(ListKind.FAILED, silent_ms=1000.0 * silent_s), {})
+            return
+        now = self.loop.time()
+        self._news_due = min(self._news_due, now - silent_s + NEWS_DUE_S)
+        self._call_after(random.uniform(0.0, max(LINE_SHARE * (self._news_due - now), FIRST_PAUSE_S)))
+
+    def heard_again(self, watch: WatchConnection) -> None:
+        if watch is not self._watch:
+            return
+        log.info("discovery: heard again")
+        self._news_due = math.inf
+        if self._must_ask:
+            self._deliver(ListChanged(ListKind.ALIVE), {})
+        else:
+            self._stop_moving()
+
+    def _call_after(self, pause_s: float) -> None:
+        self._stop_moving()
+        self._moving = self.loop.call_later(pause_s, self.watch)
+
     def _keep(self) -> None:
         self._keeping = None
         if self._list_file is not None:
             write_list(self._list_file, self.whole_list())
-
-    def _watch_again(self) -> None:
-        if self._watch is None:
-            self.watch()
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -145,13 +145,18 @@
     DELTA = "delta"  # changed entries only
     FULL = "full"  # a server left out is gone
     CACHED = "cached"  # as this balancer last held it, perhaps long ago
-    FAILED = "failed"  # asking failed, or the watch broke: nothing new
+    FAILED = "failed"  # asking failed, or the watch broke or fell silent: nothing new
+    ALIVE = "alive"  # the watch that had fallen silent is heard again: nothing new
 
 
 @dataclass(frozen=True, slots=True)
 class ListChanged:
+    """`silent_ms`: of a failure, how long ago the watch that has fallen silent was last heard, in ms; else 0. Its host
+    keeps that watch until the next `Watch`, since it may be heard again."""
+
     kind: ListKind
     servers: tuple[Server, ...] = ()
+    silent_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +203,7 @@
     MOOT = "moot"  # never sent
 
 
+NEWS_DUE_MS = 6_000.0  # of the terms: what a silent watch misses counts as told so long after it fell silent
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
 
 
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -60,7 +60,8 @@
 
 
 SAME_START_MS = 1_000.0  # two processes read the machines' clock a little differently
-HURRY_MS = 300.0  # between calls for the list, after taking another's place
+HURRY_MS = 300.0  # more after each failure, between calls for a list that is wanted soon
+LINE_SHARE = 0.5  # of what is left until news is due is for discovery, which answers all balancers in turn
 
 
 class Average:
@@ -474,6 +475,7 @@
         self._hurries = False  # another's place is taken: the list is wanted soon
         self._yields = False  # another has taken this one's place
         self._watch_failures = 0  # in a row
+        self._news_due = math.inf  # when what was missed counts as told
         self._actions: list[api.Action] = []
 
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
@@ -592,11 +594,20 @@
         if self._settings.must_ask and not self._watch_due and (failed or event.kind is ListKind.CACHED):
             # Growing pauses spare a slow discovery; half of the time to ask within is never exceeded.
             widest = self._settings.ask_within_ms * min(2.0 ** self._watch_failures / 8, 0.5)
+            hurried = HURRY_MS * self._watch_failures
             if self._hurries:
-                widest = min(widest, HURRY_MS * self._watch_failures)
+                widest = min(widest, hurried)
+            if event.silent_ms:
+                self._news_due = min(self._news_due, now - event.silent_ms + api.NEWS_DUE_MS)
+            # Drawn as wide as may be: all watches fall silent at one moment when discovery's machine does.
+            widest = min(widest, max(LINE_SHARE * (self._news_due - now), hurried))
             self._watch_due = self._set_timer(None, self._random.uniform(0.0, widest))
         if failed:
             return
+        self._news_due = math.inf
+        if event.kind is ListKind.ALIVE:
+            self._watch_due = 0
+            return
         self._hurries = self._hurries and event.kind is ListKind.CACHED
         if event.kind is not ListKind.DELTA:
             listed = {entry.name for entry in event.servers}
--- /dev/null
+++ b/tests/discofleet.py
@@ -0,0 +1,281 @@
+"""A fleet's discovery clients in simulated time: the real watch code and the real decisions of many proxies, before one
+stand-in discovery that answers in turn, refuses who waits too long, falls silent, goes down, drains servers.
+
+Seen from outside: for each proxy the moment from which a server counts as announced to be leaving, by the terms, and
+each send after that and the grace of 250 ms.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import random
+from collections import deque
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, replace
+from itertools import count
+from typing import Any, cast
+
+from cometdoor.discovery import Discovery, ListReader
+from jasperhall import api
+from jasperhall.balancer import Balancer
+from tests.rig import member
+
+GRACE_S, NEWS_DUE_S, LINE_S = 0.25, 6.0, 2.0  # of the terms, and not taken from the program
+SETTINGS = api.Settings(classes=(api.RequestClass(aim_ms=1000, deadline_ms=3000),), must_ask=True)
+
+
+class Handle:
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call = call
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class Loop:
+    """What the watch code uses of an event loop, on a clock of its own."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self._due: list[tuple[float, int, Handle]] = []
+        self._order = count()
+        self.connect: Callable[[Callable[[], Any]], None] = lambda make: None
+
+    def time(self) -> float:
+        return self.now
+
+    def call_later(self, after_s: float, call: Callable[..., None], *args: Any) -> Handle:
+        handle = Handle(lambda: call(*args))
+        heapq.heappush(self._due, (self.now + max(after_s, 0.0), next(self._order), handle))
+        return handle
+
+    async def create_connection(self, make: Callable[[], Any], *_address: Any) -> None:
+        self.connect(make)
+
+    def create_task(self, work: Coroutine[Any, Any, None]) -> Handle:
+        def step() -> None:
+            if not handle.cancelled:
+                try:
+                    work.send(None)
+                except StopIteration:
+                    return
+            work.close()
+        handle = Handle(step)
+        heapq.heappush(self._due, (self.now, next(self._order), handle))
+        return handle
+
+    def run_until(self, end: float) -> None:
+        while self._due and self._due[0][0] <= end:
+            self.now, _, handle = heapq.heappop(self._due)
+            if not handle.cancelled or handle.call.__name__ == "step":
+                handle.call()
+        self.now = end
+
+
+class Wire:
+    """One connection, as the watch's transport; `say` is discovery's end of it."""
+
+    def __init__(self, world: World, protocol: Any) -> None:
+        self.world, self.protocol = world, protocol
+        self.index = 0
+        self.came = 0.0
+        self.silent = self.closed = self.watching = False
+
+    def write(self, head: bytes) -> None:
+        self.index = int(head.split(b"index=")[1].split()[0])
+        self.came = self.world.loop.now
+        self.world.calls.append(self.came)
+        self.world.line.append(self)
+        self.world.serve()
+
+    def say(self, data: bytes) -> None:
+        self.world.loop.call_later(0.001, lambda: self.closed or self.protocol.data_received(data))
+
+    def _arrive(self, data: bytes) -> None:
+        if not self.closed:
+            self.protocol.data_received(data)
+
+    def chunk(self, data: bytes) -> None:
+        self.say(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def abort(self) -> None:
+        self.closed = True
+
+    close = abort
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+
+@dataclass
+class Proxy:
+    """The host of a real balancer and a real watch; counts what is sent too late."""
+
+    world: World
+    number: int
+
+    def __post_init__(self) -> None:
+        world = self.world
+        settings = replace(SETTINGS, must_ask=world.asked, balancers=len(world.addresses), position=self.number,
+                           zone=self.number % 2)
+        self.balancer = Balancer(settings, self.number)
+        self.told: dict[str, float] = {}
+        self.listed: set[str] = set()
+        known = world.whole()
+        self.discovery = Discovery(cast(Any, world.loop), [("127.0.0.1", self.number + 1)], ListReader(("a", "b"), ()),
+                                   world.asked, known, lambda event, _: self.handle(event))
+        self.requests = count()
+        self.handle(api.ListChanged(api.ListKind.CACHED, tuple(self.discovery.reader.read(known)[0])))
+        self.discovery.start()
+
+    def handle(self, event: api.Event) -> None:
+        loop = self.world.loop
+        for action in self.balancer.handle(event, loop.now * 1000.0):
+            match action:
+                case api.SetTimer(token, after_ms):
+                    loop.call_later(after_ms / 1000.0, self.handle, api.TimerFired(token))
+                case api.Watch():
+                    self.discovery.watch()
+                case api.Send(request, server):
+                    self.world.sent(self, server)
+                    loop.call_later(0.02, self.handle, api.AttemptEnded(
+                        request, 0, server, api.Outcome.OK, True, 20.0))
+
+    def ask(self) -> None:
+        self.handle(api.RequestArrived(f"{next(self.requests)}", 0, 3000.0))
+        self.world.loop.call_later(0.3, self.ask)
+
+
+class World:
+    def __init__(self, proxies: int, servers: int, *, asked: bool, all_call_s: float = 3.7, wait_s: float = 2.0,
+                 seed: int = 1) -> None:
+        """`all_call_s`: how long discovery takes to answer a call of each proxy, one after another."""
+        random.seed(seed)
+        self.random = random.Random(seed)
+        self.asked = asked
+        self.loop = Loop()
+        self.loop.connect = self._connect
+        self.service_s, self.wait_s = all_call_s / proxies, wait_s
+        self.members = {name: member(name, "127.0.0.1:9", locality="ab"[i % 2], cell=i // 3)
+                        for i, name in enumerate(f"s{i}" for i in range(servers))}
+        self.changes: list[str] = []  # the name that each revision changed
+        self.line: deque[Wire] = deque()
+        self.calls: list[float] = []
+        self.refused = self.sends = 0
+        self.late: list[tuple[int, str, float]] = []
+        self.wires: list[Wire] = []
+        self.busy = False
+        self.is_down = False
+        self.indent: int | None = None
+        self.addresses = range(proxies)
+        self.proxies = [Proxy(self, number) for number in self.addresses]
+
+    def whole(self) -> dict[str, Any]:
+        return {"revision": len(self.changes), "complete": True, "members": list(self.members.values())}
+
+    # --- what happens ---
+
+    def clients_come(self) -> None:
+        for proxy in self.proxies:
+            self.loop.call_later(self.random.uniform(0.0, 0.3), proxy.ask)
+
+    def run(self, seconds: float) -> None:
+        self.loop.run_until(self.loop.now + seconds)
+
+    def fall_silent(self) -> None:
+        """All that is connected now says nothing any more, watches and calls in line alike."""
+        now = self.loop.now
+        for wire in self.wires:
+            wire.silent = True
+        self.line.clear()
+        for proxy in self.proxies:
+            proxy.silent_since = now  # type: ignore[attr-defined]
+
+    def go_down(self, seconds: float) -> None:
+        self.is_down = True
+        self.line.clear()
+        for wire in self.wires:
+            if not wire.silent and not wire.closed:
+                self.loop.call_later(0.0, wire.protocol.connection_lost, None)
+        self.wires = [wire for wire in self.wires if wire.silent]
+        self.loop.call_later(seconds, self._return)
+
+    def _return(self) -> None:
+        self.is_down = False
+        if not self.asked:  # what the agent gets at its return counts at once
+            for proxy in self.proxies:
+                for name in self.changes:
+                    self._count(proxy, name, self.loop.now)
+
+    def change(self, name: str, phase: str = "terminating") -> None:
+        entry = self.members[name] = {**self.members[name], "phase": phase}
+        self.changes.append(name)
+        due = self.loop.now + NEWS_DUE_S
+        for proxy in self.proxies:
+            silent = getattr(proxy, "silent_since", None)
+            if phase != "in_service" and silent is not None:
+                self._count(proxy, name, max(silent + NEWS_DUE_S, self.loop.now))
+            elif phase != "in_service" and not self.asked and not self.is_down:
+                self._count(proxy, name, due)
+        for wire in self.wires:
+            if wire.watching and not wire.silent and not wire.closed and not self.is_down:
+                self._tell(wire, [entry])
+
+    def _count(self, proxy: Proxy, name: str, at: float) -> None:
+        if self.members[name]["phase"] != "in_service":
+            proxy.told[name] = min(proxy.told.get(name, at), at)
+
+    # --- discovery's work ---
+
+    def _connect(self, make: Callable[[], Any]) -> None:
+        if self.is_down:
+            raise ConnectionRefusedError("down")
+        protocol = make()
+        wire = Wire(self, protocol)
+        self.wires.append(wire)
+        protocol.connection_made(wire)
+
+    def serve(self) -> None:
+        while not self.busy and self.line:
+            wire = self.line.popleft()
+            if wire.closed:
+                continue
+            waited = self.loop.now - wire.came
+            if waited > self.wait_s:
+                self.refused += 1
+                wire.say(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+                continue
+            self.busy = True
+            self.loop.call_later(self.service_s, self._answer, wire)
+
+    def _answer(self, wire: Wire) -> None:
+        self.busy = False
+        if not wire.closed and not wire.silent and not self.is_down:
+            wire.watching = True
+            wire.say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            names = dict.fromkeys(self.changes[wire.index:])
+            self._tell(wire, [self.members[name] for name in names])
+            self.loop.call_later(LINE_S, self._empty_line, wire)
+        self.serve()
+
+    def _tell(self, wire: Wire, entries: list[dict[str, Any]]) -> None:
+        told = {"revision": len(self.changes), "complete": False, "members": entries}
+        wire.chunk(json.dumps(told, indent=self.indent).encode() + b"\n")
+        proxy = self.proxies[wire.protocol._owner._sources.current[1] - 1]
+        for entry in entries:
+            self._count(proxy, entry["id"], self.loop.now)
+
+    def _empty_line(self, wire: Wire) -> None:
+        if not wire.closed and not wire.silent:
+            wire.chunk(b"\n")
+            self.loop.call_later(LINE_S, self._empty_line, wire)
+
+    # --- the rule ---
+
+    def sent(self, proxy: Proxy, server: str) -> None:
+        self.sends += 1
+        at = proxy.told.get(server)
+        if at is not None and self.loop.now > at + GRACE_S:
+            self.late.append((proxy.number, server, self.loop.now - at))
