--- a/tests/discofleet.py
+++ b/tests/discofleet.py
@@ -91,7 +91,7 @@
         self.world.serve()
 
     def say(self, data: bytes) -> None:
-        self.world.loop.call_later(0.001, lambda: self.closed or self.protocol.data_received(data))
+        self.world.loop.call_later(0.001, self._arrive, data)
 
     def _arrive(self, data: bytes) -> None:
         if not self.closed:
