--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -13,17 +13,15 @@
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any, cast
+from typing import Any
 from zlib import crc32
 
-import httptools
-import orjson
-
 from cometdoor.config import Address, read_address
 from cometdoor.listfile import write_list
 from cometdoor.sources import FIRST_ANSWER_S, Sources
-from jasperhall.api import NEWS_DUE_MS, ListChanged, ListKind, Server, State
-from jasperhall.balancer import LINE_SHARE
+from cometdoor.watch import WatchConnection
+from jasperhall.api import LINE_MS, NEWS_DUE_MS, ListChanged, ListKind, Server, State
+from jasperhall.balancer import widest_pause_ms
 
 log = logging.getLogger(__name__)
 
@@ -31,16 +29,17 @@
 # A watch says something every 2 s; the rest is for the way here and for a loop that gets round to it late. What a
 # silent watch misses counts as told 6 s after it was last heard, and sends have to end 250 ms later: until then all
 # proxies have to be served anew by a discovery that answers in turn, so every moment here is one less for that.
-SILENCE_S = 2.0 + 0.25
-# The first answer waits its turn, and one that asks anew goes to the end of the line. With a call that was silent from
-# its start, as much is left of the 6 s for the next.
-FIRST_LINE_S, LONGEST_FIRST_LINE_S = 3.0, 12.0
+SILENCE_S = LINE_MS / 1000.0 + 0.25
+# The first line waits its turn, and a call made anew goes to the end of the line: once news is overdue the time doubles
+# with each that gets none. Where the new call is silent too the sum is 2.25 s, a pause of half the 3.75 s left at the
+# most, and 2.1 s: 6.225 s.
+FIRST_LINE_S, LONGEST_FIRST_LINE_S = 2.1, 8.4
 NEWS_DUE_S = NEWS_DUE_MS / 1000.0
 SEVERAL_SILENCE_S = 3.0  # of one of several addresses: 6 s less a hop, FIRST_ANSWER_S, another hop, and an answer
-MAX_LINE = 8 << 20
 KEEP_EVERY_S = 1.0  # a list that changes is written to its file no more often
-LIFE = "Mastlift-Life"  # names the history that revisions are of, where discovery says it
-FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.1, 5.0  # between watches where lists are pushed
+# Between calls where lists are pushed. What the agent gets at discovery's return counts at once: 250 ms less an answer.
+FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.1, 0.2
+SEVERAL_PAUSE_S = 5.0  # with several addresses no agent is asked but a service that many share
 # All proxies are told of a new address at one moment, and it answers calls in turn; the old one still
 # keeps its open connections for 1.5 s.
 MOVE_SPREAD_S = 1.0
@@ -86,118 +85,6 @@
         return numbers.setdefault(name, len(numbers)) if name is not None else 0
 
 
-class WatchConnection(asyncio.Protocol):
-    """One call: a chunked answer of one JSON object a line, until the connection ends."""
-
-    def __init__(self, owner: Discovery, target: str, host: str, life: str = "",
-                 patience_s: float = FIRST_LINE_S) -> None:
-        """`life`: of the history that the index in the target is of; `patience_s` for the first byte of the answer."""
-        self._owner = owner
-        self._head = (f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n"
-                      + (f"{LIFE}: {life}\r\n" if life else "") + "\r\n").encode()
-        self.life = ""  # what the answer says
-        self._patience_s = patience_s
-        self._silent = False  # told to be, and not heard since
-        self._parser = httptools.HttpResponseParser(self)
-        self._line = bytearray()
-        self._transport: asyncio.Transport | None = None
-        self._opening: asyncio.Task[None] | None = None
-        self._ended = False
-        self._heard_at = owner.loop.time()
-        self._silence = owner.loop.call_later(patience_s, self._check_silence)
-
-    def open(self, address: Address) -> None:
-        self._opening = self._owner.loop.create_task(self._connect(address))
-
-    async def _connect(self, address: Address) -> None:
-        try:
-            await self._owner.loop.create_connection(lambda: self, *address)
-        except OSError as problem:
-            self.end(f"not connected: {problem}")
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)
-        if self._ended:
-            self._transport.abort()
-        else:
-            self._transport.write(self._head)
-
-    def data_received(self, data: bytes) -> None:
-        self._heard_at = self._owner.loop.time()
-        self._patience_s = self._owner.silence_s
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
-            self.end(f"not understood: {problem}")
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == LIFE.lower().encode():
-            self.life = value.decode("ascii", "replace")
-
-    def on_body(self, body: bytes) -> None:
-        if self._ended or self._parser.get_status_code() != 200:
-            return
-        if self._silent:
-            self._silent = False
-            self._silence = self._owner.loop.call_later(self._patience_s, self._check_silence)
-            self._owner.heard_again(self)
-        self._line += body
-        if len(self._line) > MAX_LINE:
-            self.end("a line without end")
-        while not self._ended and (end := self._line.find(b"\n")) >= 0:
-            line = bytes(self._line[:end]).strip()
-            del self._line[:end + 1]
-            if line:
-                self._read_line(line)
-
-    def _read_line(self, line: bytes) -> None:
-        try:
-            message = orjson.loads(line)
-            if reason := self._owner.not_to_take(message, self.life):
-                self.end(reason)
-                return
-            changes = self._owner.reader.read(message)
-            self._owner.changed(message, *changes)
-        except (ValueError, KeyError, TypeError, AttributeError) as problem:
-            self.end(f"a line not understood: {type(problem).__name__}: {problem}")
-
-    def is_unanswered(self) -> bool:
-        return self._parser.get_status_code() == 0
-
-    def on_message_complete(self) -> None:
-        status = self._parser.get_status_code()
-        if status >= 200:
-            self.end(f"over, status {status}")
-
-    def eof_received(self) -> None:
-        self.end("the connection ended")
-
-    def connection_lost(self, problem: Exception | None) -> None:
-        self.end(f"the connection broke: {problem}")
-
-    def _check_silence(self) -> None:
-        """Guards against a discovery machine that vanished: its connection stays open and says nothing."""
-        now = self._owner.loop.time()
-        left = self._heard_at + self._patience_s - now
-        if left <= 0:
-            self._silent = True
-            self._owner.fell_silent(self, now - self._heard_at)
-        else:
-            self._silence = self._owner.loop.call_later(left, self._check_silence)
-
-    def end(self, reason: str, tell: bool = True) -> None:
-        if self._ended:
-            return
-        self._ended = True
-        self._silence.cancel()
-        if self._transport is not None:
-            self._transport.abort()
-        elif self._opening is not None:
-            self._opening.cancel()
-        if tell:
-            self._owner.ended(self, reason)
-
-
 class Discovery:
     """The watch, at one of several addresses; with a single one nothing here differs from calling it alone."""
 
@@ -221,10 +108,6 @@
         self._list_file = list_file
         self._keeping: asyncio.TimerHandle | None = None
 
-    @property
-    def silence_s(self) -> float:
-        return SEVERAL_SILENCE_S if self._sources.several else SILENCE_S
-
     def start(self) -> None:
         if not self._must_ask:
             self.watch()
@@ -236,8 +119,9 @@
             self._watch.end("replaced", tell=False)
         host, port = self._sources.current
         target, name = f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}"
-        self._watch = (WatchConnection(self, target, name, self._life, FIRST_ANSWER_S) if self._sources.several
-                       else WatchConnection(self, target, name, patience_s=self._first_line_s))
+        patience_s, silence_s = ((FIRST_ANSWER_S, SEVERAL_SILENCE_S) if self._sources.several
+                                 else (self._first_line_s, SILENCE_S))
+        self._watch = WatchConnection(self, target, name, patience_s, silence_s, self._life)
         self._watch.open((host, port))
 
     def whole_list(self) -> dict[str, Any]:
@@ -305,6 +189,10 @@
         self._strange = 0
         if self._watch is not None:
             self._life = self._watch.life
+            if not self._watch.is_told:
+                self._watch.is_told = True
+                log.info("discovery: at revision %d, %.2f s after the call", self._revision,
+                         self.loop.time() - self._watch.opened_at)
         if self._list_file is not None and self._keeping is None:
             self._keeping = self.loop.call_later(KEEP_EVERY_S, self._keep)
         kind = ListKind.FULL if message.get("complete") else ListKind.DELTA
@@ -322,7 +210,8 @@
             self._deliver(ListChanged(ListKind.FAILED), {})
             return
         self._call_after(self._pause_s * random.uniform(0.5, 1.0))
-        self._pause_s = min(2.0 * self._pause_s, LONGEST_PAUSE_S)
+        longest_s = SEVERAL_PAUSE_S if self._sources.several else LONGEST_PAUSE_S
+        self._pause_s = min(2.0 * self._pause_s, longest_s)
 
     def fell_silent(self, watch: WatchConnection, silent_s: float) -> None:
         """It is kept until the next call, which all proxies make at a moment of their own."""
@@ -332,14 +221,14 @@
             watch.end("silent")
             return
         log.info("discovery: silent for %.2f s", silent_s)
-        if watch.is_unanswered():
+        now = self.loop.time()
+        self._news_due = min(self._news_due, now - silent_s + NEWS_DUE_S)
+        if not watch.is_answered and now > self._news_due + LINE_MS / 1000.0:
             self._first_line_s = min(2.0 * self._first_line_s, LONGEST_FIRST_LINE_S)
         if self._must_ask:
             self._deliver(ListChanged(ListKind.FAILED, silent_ms=1000.0 * silent_s), {})
             return
-        now = self.loop.time()
-        self._news_due = min(self._news_due, now - silent_s + NEWS_DUE_S)
-        self._call_after(random.uniform(0.0, max(LINE_SHARE * (self._news_due - now), FIRST_PAUSE_S)))
+        self._call_after(random.uniform(0.0, widest_pause_ms(1000.0 * (self._news_due - now)) / 1000.0))
 
     def heard_again(self, watch: WatchConnection) -> None:
         if watch is not self._watch:
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -248,7 +248,7 @@
             self._carry_out(action)
 
     def _list_changed(self, event: api.ListChanged, addresses: dict[str, Address]) -> None:
-        if event.kind not in (ListKind.FAILED, ListKind.ALIVE):
+        if event.kind.tells_servers:
             if event.kind is not ListKind.DELTA:
                 for name in self._addresses.keys() - {server.name for server in event.servers}:
                     self._forget_server(name)
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -148,6 +148,10 @@
     FAILED = "failed"  # asking failed, or the watch broke or fell silent: nothing new
     ALIVE = "alive"  # the watch that had fallen silent is heard again: nothing new
 
+    @property
+    def tells_servers(self) -> bool:
+        return self not in (ListKind.FAILED, ListKind.ALIVE)
+
 
 @dataclass(frozen=True, slots=True)
 class ListChanged:
@@ -203,7 +207,8 @@
     MOOT = "moot"  # never sent
 
 
-NEWS_DUE_MS = 6_000.0  # of the terms: what a silent watch misses counts as told so long after it fell silent
+NEWS_DUE_MS = 6_000.0  # of the terms: what a silent watch misses counts as told so long after it fell silent,
+LINE_MS = 2_000.0  # and that may have been anywhere between the last line and the next
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
 
 
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -64,6 +64,15 @@
 LINE_SHARE = 0.5  # of what is left until news is due is for discovery, which answers all balancers in turn
 
 
+def widest_pause_ms(left_ms: float) -> float:
+    """Before the next call for a list, where so much is left until news is due.
+
+    As wide as may be: all watches fall silent at one moment when discovery's machine does. Wide again the longer
+    news is overdue for certain.
+    """
+    return LINE_SHARE * max(left_ms, -left_ms - api.LINE_MS, 0.0)
+
+
 class Average:
     """A mean over the recent past, whose evidence fades with time."""
 
@@ -475,6 +484,7 @@
         self._hurries = False  # another's place is taken: the list is wanted soon
         self._yields = False  # another has taken this one's place
         self._watch_failures = 0  # in a row
+        self._asked_at = -math.inf
         self._news_due = math.inf  # when what was missed counts as told
         self._actions: list[api.Action] = []
 
@@ -594,13 +604,13 @@
         if self._settings.must_ask and not self._watch_due and (failed or event.kind is ListKind.CACHED):
             # Growing pauses spare a slow discovery; half of the time to ask within is never exceeded.
             widest = self._settings.ask_within_ms * min(2.0 ** self._watch_failures / 8, 0.5)
-            hurried = HURRY_MS * self._watch_failures
             if self._hurries:
-                widest = min(widest, hurried)
+                widest = min(widest, HURRY_MS * self._watch_failures)
             if event.silent_ms:
                 self._news_due = min(self._news_due, now - event.silent_ms + api.NEWS_DUE_MS)
-            # Drawn as wide as may be: all watches fall silent at one moment when discovery's machine does.
-            widest = min(widest, max(LINE_SHARE * (self._news_due - now), hurried))
+            # A call that waited long before it failed was itself a pause.
+            least = max(HURRY_MS - (now - self._asked_at), 0.0)
+            widest = min(widest, max(widest_pause_ms(self._news_due - now), least))
             self._watch_due = self._set_timer(None, self._random.uniform(0.0, widest))
         if failed:
             return
@@ -768,6 +778,8 @@
         Its part goes by weight: held to the plain mean, servers of the own zone lose the turns that they
         are preferred by. What lowers a weight for being slow or failing is left out: the calls show that.
         """
+        if not member.outstanding:
+            return False  # as below, without a look at all others
         total = sum(self._preferred_weight(other, now) for other in self._rotated)
         part = self._outstanding * self._preferred_weight(member, now) / total
         return member.outstanding >= 1.0 + CROWDED * part
@@ -992,6 +1004,7 @@
         if request_id is None:
             if token == self._watch_due:  # one that another took the place of means nothing
                 self._watch_due = 0
+                self._asked_at = now
                 self._actions.append(api.Watch())
             return
         request = self._requests.get(request_id)
--- a/mastlift/lab/benches/discovery.py
+++ b/mastlift/lab/benches/discovery.py
@@ -217,11 +217,11 @@
 async def watch_as_proxies(addresses: list[str], count: int) -> None:
     """So many of the proxy's own discovery clients; a line `up T` when all have a watch that answers, `down T` else."""
     from cometdoor.config import read_addresses
-    from cometdoor.discovery import SILENCE_S, Discovery, ListReader
+    from cometdoor.discovery import Discovery, ListReader
 
     def has_watch(one: Discovery) -> bool:
         watch = one._watch
-        return watch is not None and watch._patience_s == SILENCE_S and watch._parser.get_status_code() == 200
+        return watch is not None and watch.is_answered
 
     loop, state = asyncio.get_running_loop(), False
     clients = [Discovery(loop, read_addresses(addresses), ListReader([], []), False, {}, lambda change, found: None)
@@ -276,10 +276,11 @@
     """Calls per second of so many proxies' clients, none of whose three addresses answers, once their pauses grew."""
     from cometdoor import discovery
     from cometdoor.config import read_address
+    from cometdoor.watch import WatchConnection
 
     calls = [0]
 
-    class Counted(discovery.WatchConnection):
+    class Counted(WatchConnection):
         def open(self, address: tuple[str, int]) -> None:
             calls[0] += 1
             super().open(address)
--- a/mastlift/lab/listsim.py
+++ b/mastlift/lab/listsim.py
@@ -19,6 +19,7 @@
 
 from cometdoor import discovery as client_
 from cometdoor.config import Address
+from cometdoor.watch import Objects, WatchConnection
 from jasperhall.api import ListChanged
 from mastlift.consensus import core as r
 from mastlift.discovery.hold import Due, Hold
@@ -82,15 +83,17 @@
     reading: bool = False
 
 
-class SimWatch(client_.WatchConnection):
+class SimWatch(WatchConnection):
     """A proxy's call over the simulated network, in place of sockets; lines are read by the real client's code."""
 
-    def __init__(self, owner: client_.Discovery, target: str, host: str, life: str = "",
-                 patience_s: float = client_.SILENCE_S) -> None:
+    def __init__(self, owner: client_.Discovery, target: str, host: str, patience_s: float, silence_s: float,
+                 life: str = "") -> None:
         self.group: ListGroup = owner.loop._group  # type: ignore[attr-defined]
         self._owner, self._given, self.life = owner, life, ""
         self.index, self.told, self._ended = int(target.rpartition("=")[2]), 0, False
-        self._heard_at, self._patience_s = owner.loop.time(), patience_s
+        self._heard_at, self._patience_s, self._silence_s = owner.loop.time(), patience_s, silence_s
+        self._objects = Objects()
+        self.opened_at, self._silent, self.is_answered, self.is_told = self._heard_at, False, False, False
         self._last, self._cut = 0.0, False
         self._silence = owner.loop.call_later(patience_s, self._check_silence)
 
@@ -119,9 +122,7 @@
         self._cut = self._cut or self.node_id in self.group.mute  # a stream with a hole in it goes on nowhere
         if self._ended or self._cut:
             return
-        self._heard_at, self._patience_s = self._owner.loop.time(), client_.SILENCE_S
-        if line.strip():
-            self._read_line(line.strip())
+        self._take(line.strip() + b"\n")
 
 
 class Server:
--- a/tests/discofleet.py
+++ b/tests/discofleet.py
@@ -87,8 +87,10 @@
         self.index = int(head.split(b"index=")[1].split()[0])
         self.came = self.world.loop.now
         self.world.calls.append(self.came)
-        self.world.line.append(self)
-        self.world.serve()
+        self.silent = self.came < self.world.mute_until
+        if not self.silent:
+            self.world.line.append(self)
+            self.world.serve()
 
     def say(self, data: bytes) -> None:
         self.world.loop.call_later(0.001, self._arrive, data)
@@ -122,7 +124,7 @@
                            zone=self.number % 2)
         self.balancer = Balancer(settings, self.number)
         self.told: dict[str, float] = {}
-        self.listed: set[str] = set()
+        self.silent_since: float | None = None
         known = world.whole()
         self.discovery = Discovery(cast(Any, world.loop), [("127.0.0.1", self.number + 1)], ListReader(("a", "b"), ()),
                                    world.asked, known, lambda event, _: self.handle(event))
@@ -138,6 +140,8 @@
                     loop.call_later(after_ms / 1000.0, self.handle, api.TimerFired(token))
                 case api.Watch():
                     self.discovery.watch()
+                case api.Refuse():
+                    self.world.refusals += 1
                 case api.Send(request, server):
                     self.world.sent(self, server)
                     loop.call_later(0.02, self.handle, api.AttemptEnded(
@@ -163,11 +167,12 @@
         self.changes: list[str] = []  # the name that each revision changed
         self.line: deque[Wire] = deque()
         self.calls: list[float] = []
-        self.refused = self.sends = 0
+        self.refused = self.sends = self.refusals = 0
         self.late: list[tuple[int, str, float]] = []
         self.wires: list[Wire] = []
         self.busy = False
         self.is_down = False
+        self.stalled_until = self.mute_until = 0.0
         self.indent: int | None = None
         self.addresses = range(proxies)
         self.proxies = [Proxy(self, number) for number in self.addresses]
@@ -186,12 +191,20 @@
 
     def fall_silent(self) -> None:
         """All that is connected now says nothing any more, watches and calls in line alike."""
-        now = self.loop.now
         for wire in self.wires:
             wire.silent = True
         self.line.clear()
         for proxy in self.proxies:
-            proxy.silent_since = now  # type: ignore[attr-defined]
+            if proxy.silent_since is None:
+                proxy.silent_since = self.loop.now
+
+    def go_silent_for(self, seconds: float) -> None:
+        """Calls are taken, and get no answer."""
+        self.mute_until = self.loop.now + seconds
+
+    def stall(self, seconds: float) -> None:
+        """Lines come so much later."""
+        self.stalled_until = self.loop.now + seconds
 
     def go_down(self, seconds: float) -> None:
         self.is_down = True
@@ -212,13 +225,12 @@
     def change(self, name: str, phase: str = "terminating") -> None:
         entry = self.members[name] = {**self.members[name], "phase": phase}
         self.changes.append(name)
-        due = self.loop.now + NEWS_DUE_S
         for proxy in self.proxies:
-            silent = getattr(proxy, "silent_since", None)
+            silent = proxy.silent_since
             if phase != "in_service" and silent is not None:
                 self._count(proxy, name, max(silent + NEWS_DUE_S, self.loop.now))
             elif phase != "in_service" and not self.asked and not self.is_down:
-                self._count(proxy, name, due)
+                self._count(proxy, name, self.loop.now)  # the agent has it
         for wire in self.wires:
             if wire.watching and not wire.silent and not wire.closed and not self.is_down:
                 self._tell(wire, [entry])
@@ -264,11 +276,14 @@
         told = {"revision": len(self.changes), "complete": False, "members": entries}
         wire.chunk(json.dumps(told, indent=self.indent).encode() + b"\n")
         proxy = self.proxies[wire.protocol._owner._sources.current[1] - 1]
+        proxy.silent_since = None
         for entry in entries:
             self._count(proxy, entry["id"], self.loop.now)
 
     def _empty_line(self, wire: Wire) -> None:
-        if not wire.closed and not wire.silent:
+        if self.loop.now < self.stalled_until:
+            self.loop.call_later(self.stalled_until - self.loop.now, self._empty_line, wire)
+        elif not wire.closed and not wire.silent:
             wire.chunk(b"\n")
             self.loop.call_later(LINE_S, self._empty_line, wire)
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -63,7 +63,7 @@
         self.log: list[api.Action] = []
 
     def feed(self, event: api.Event) -> list[api.Action]:
-        if isinstance(event, api.ListChanged) and event.kind is not ListKind.FAILED:
+        if isinstance(event, api.ListChanged) and event.kind.tells_servers:
             if event.kind is not ListKind.DELTA:
                 gone = {n: replace(s, state=State.GONE) for n, s in self.known.items()}
                 self.known.update(gone)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,19 +2,42 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Iterator
+from typing import Any
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from tests.discofleet import World
+from cometdoor.discovery import ListReader
+from cometdoor.watch import Objects
+from jasperhall import api
+from jasperhall.balancer import Balancer
+from tests.discofleet import GRACE_S, NEWS_DUE_S, SETTINGS, World
+from tests.rig import FakeServer, Rig, member, run
 
 BOTH = pytest.mark.parametrize("asked", [True, False])
+LOOP_S = 0.05  # of the terms: every time limit is so much longer on sockets
 
 
-@BOTH
-@pytest.mark.parametrize("when", [-0.3, 0.0, 0.9, 5.0])
-def test_all_watches_fall_silent_and_a_change_is_missed(asked: bool, when: float) -> None:
-    world = World(230, 30, asked=asked)
+def watched(proxies: int, servers: int, asked: bool, **more: Any) -> World:
+    """All have a watch, and clients come."""
+    world = World(proxies, servers, asked=asked, **more)
     world.run(20.0)
     world.clients_come()
+    return world
+
+
+@BOTH
+@pytest.mark.parametrize("when", [-0.3, 0.0, 0.9, 5.0])
+def test_all_watches_fall_silent_and_changes_are_missed(asked: bool, when: float) -> None:
+    world = watched(230, 30, asked)
     calls = len(world.calls)
     if when < 0.0:
         world.change("s1")
@@ -27,3 +50,222 @@
     assert not world.late
     assert world.sends > 8_000
     assert len(world.calls) - calls < 1.5 * 230  # one call each, and few refused
+
+
+@BOTH
+def test_the_new_watch_is_silent_too(asked: bool) -> None:
+    world = watched(60, 30, asked, all_call_s=0.3)
+    world.fall_silent()
+    world.change("s2")
+    world.go_silent_for(4.12)  # all first calls anew: 2.25 s and half of what is left then
+    world.run(12.0)
+    assert not world.late
+    assert all(proxy.told for proxy in world.proxies)
+
+
+@BOTH
+def test_discovery_goes_down_in_the_middle_of_the_silence(asked: bool) -> None:
+    world = watched(60, 30, asked, all_call_s=0.6 if asked else 0.0)  # lists are pushed by an agent each
+    world.fall_silent()
+    world.run(2.5)
+    world.change("s2")
+    world.run(0.01)
+    world.go_down(1.5)
+    world.run(0.7)
+    world.change("s3")
+    world.run(12.0)
+    assert not world.late
+    assert all(set(proxy.told) == {"s2", "s3"} for proxy in world.proxies)
+
+
+@pytest.mark.parametrize("down_s", [0.4, 3.0, 20.0])
+def test_what_is_pushed_when_discovery_returns_counts_at_once(down_s: float) -> None:
+    world = watched(40, 30, False, all_call_s=0.0)
+    world.go_down(down_s)
+    world.run(down_s / 2)
+    world.change("s2")
+    world.run(down_s / 2 + 1.0)
+    assert not world.late
+    assert all(proxy.told for proxy in world.proxies)
+    assert len(world.calls) <= 4 * 40
+
+
+@BOTH
+def test_a_late_line_costs_few_calls_and_a_watch_that_speaks_again_is_kept(asked: bool) -> None:
+    world = watched(100, 30, asked)
+    calls = len(world.calls)
+    world.stall(1.0)  # so a third of the lines come up to 3 s after the ones before
+    world.run(2.5)
+    world.change("s2")
+    world.run(10.0)
+    assert len(world.calls) - calls < 20
+    assert not world.late
+
+
+@BOTH
+def test_all_that_are_left_in_a_zone_or_at_all_drain_and_stay(asked: bool) -> None:
+    world = watched(20, 3, asked)
+    world.fall_silent()
+    world.change("s1")  # the only one of zone b
+    world.run(9.0)
+    sends = world.sends
+    world.run(3.0)
+    assert not world.late
+    assert world.sends - sends > 100  # all go to the other zone
+    world.change("s0")
+    world.change("s2")
+    world.run(1.0)
+    sends, refusals = world.sends, world.refusals
+    world.run(3.0)
+    assert not world.late
+    assert world.sends == sends
+    assert world.refusals - refusals > 100  # answered at once, not held
+
+
+def test_the_rig_sees_a_proxy_that_does_not_listen() -> None:
+    world = watched(20, 6, True)
+    for proxy in world.proxies:
+        proxy.discovery.changed = lambda *_: None  # type: ignore[method-assign]
+    world.change("s1")
+    world.run(2.0)
+    assert len({number for number, _, _ in world.late}) > 10
+
+
+@BOTH
+def test_over_sockets_nothing_new_starts_at_a_draining_server_after_its_time(asked: bool) -> None:
+    """The whole proxy in real time: watches fall silent, a server drains, and requests go on to come."""
+
+    async def test() -> None:
+        discovery, leaving, staying = [await FakeServer().start() for _ in range(3)]
+        members = member("s1", leaving.address), member("s2", staying.address)
+        rig = await Rig().start(*members, discovery=discovery.address, asked=asked)
+        first = await discovery.next()
+        first.open_stream()
+        first.send_list(42, True, *members)
+        silent_at = time.monotonic()
+        arrived: list[float] = []
+
+        async def serve(server: FakeServer) -> None:
+            while True:
+                call = await server.next()
+                if server is leaving:
+                    arrived.append(time.monotonic())
+                call.reply(200, b"x")
+
+        async def ask() -> None:
+            caller = await rig.caller()
+            while True:
+                caller.ask(trace=f"{random.getrandbits(64):016x}")
+                assert (await caller.answer()).status == 200
+                await asyncio.sleep(0.01)
+        tasks = [asyncio.create_task(work) for work in (serve(leaving), serve(staying), ask())]
+        again = await discovery.next()
+        assert b"index=42" in again.message.start
+        again.open_stream()
+        again.send_list(43, False, member("s1", leaving.address, phase="terminating"))
+        await asyncio.sleep(max(silent_at + NEWS_DUE_S + GRACE_S + LOOP_S - time.monotonic(), 0.0))
+        told = len(arrived)
+        await asyncio.sleep(0.5)
+        assert 0 < told == len(arrived)
+        assert not any(task.done() for task in tasks)
+        for task in tasks:
+            task.cancel()
+        rig.proxy.stop()
+
+    run(test)
+
+
+# --- how lists are read ---
+
+NAMES = st.text(alphabet='ab{}[]",\\\n é', max_size=6)
+
+
+@given(st.lists(st.tuples(st.lists(NAMES, max_size=4), st.sampled_from([None, 0, 1, 4])), max_size=5), st.data())
+def test_objects_are_read_however_they_are_indented_and_cut(told: list[tuple[list[str], int | None]],
+                                                          data: st.DataObject) -> None:
+    stream = b"".join(json.dumps({"members": [{"id": name} for name in ids]}, indent=indent).encode() + b"\r\n\n"
+                      for ids, indent in told)
+    reader, read = Objects(), []
+    while stream:
+        size = data.draw(st.integers(1, len(stream)))
+        read += list(reader.feed(stream[:size]))
+        stream = stream[size:]
+    assert [[one["id"] for one in message["members"]] for message in read] == [ids for ids, _ in told]
+
+
+@pytest.mark.parametrize("stream", [b"nonsense\n", b'{"members":[\n\n', b"]\n", b'{"a":}\n\n', b"{" + b" " * (9 << 20)])
+def test_what_can_be_no_list_is_said_and_not_waited_for(stream: bytes) -> None:
+    with pytest.raises(ValueError):
+        list(Objects().feed(stream))
+
+
+@pytest.mark.parametrize(
+    "spoilt", [b"nonsense\n", b'{"revision":50,"complete":true,"members":[{"id":"s9"}]}\n', b"7\n"])
+def test_a_list_that_can_not_be_read_is_one_log_line_and_a_new_call(spoilt: bytes,
+                                                                  caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        discovery, backend = await FakeServer().start(), await FakeServer().start()
+        rig = await Rig().start(member("s1", backend.address), discovery=discovery.address)
+        call = await discovery.next()
+        call.open_stream()
+        with caplog.at_level("INFO", "cometdoor.discovery"):
+            call.chunk(spoilt)
+            again = await discovery.next()
+        assert b"index=41" in again.message.start
+        assert sum("not understood" in line for line in caplog.messages) == 1
+        caller = await rig.caller()
+        caller.ask()
+        (await backend.next()).reply(200, b"x")
+        assert (await caller.answer()).status == 200  # by the list from before
+        rig.proxy.stop()
+
+    run(test)
+
+
+# --- size ---
+
+
+def lists(count: int, form: str) -> Iterator[bytes]:
+    entries = [member(f"s-{i:08x}", f"10.0.{i // 250}.{i % 250}:5000", locality="abc"[i % 3], cell=i // 8)
+               for i in range(count)]
+    if form == "changes":
+        for i, entry in enumerate(entries):
+            yield json.dumps({"revision": i, "complete": False, "members": [entry]}).encode() + b"\n"
+    else:
+        yield json.dumps({"revision": 1, "complete": True, "members": entries},
+                         indent=2 if form == "indented" else None).encode() + b"\n"
+
+
+def take(count: int, form: str) -> tuple[Balancer, int, int]:
+    """A list of so many servers through the reader and the decisions of one of 1,024 proxies: calls, bytes kept."""
+    balancer = Balancer(api.Settings(classes=SETTINGS.classes, balancers=1024, position=700), 1)
+    reader, objects = ListReader("abc", ()), Objects()
+    stream = list(lists(count, form))
+    calls = [0]
+
+    def profile(_frame: object, event: str, _arg: object) -> None:
+        calls[0] += event == "call"
+
+    tracemalloc.start()
+    sys.setprofile(profile)
+    try:
+        for data in stream:
+            for at in range(0, len(data), 65536):
+                for message in objects.feed(data[at:at + 65536]):
+                    kind = api.ListKind.FULL if message["complete"] else api.ListKind.DELTA
+                    balancer.handle(api.ListChanged(kind, tuple(reader.read(message)[0])), 0.0)
+    finally:
+        sys.setprofile(None)
+        kept = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+    return balancer, calls[0], kept
+
+
+@pytest.mark.parametrize("form", ["whole", "indented", "changes"])
+def test_a_list_of_1024_costs_as_much_more_as_it_is_longer(form: str) -> None:
+    """Counted in calls, which are the same on every machine; a line of its own for each change is a list each."""
+    small, large = take(128, form), take(1024, form)
+    assert len(large[0]._members) == 1024
+    assert sum(member.weight for member in large[0]._rotated) > 0.0
+    assert large[2] < 10 * small[2]
+    assert large[1] < (8 if form != "changes" else 8 * 8) * 1.3 * small[1]
