Leave an old process room for one connection to a backend for each client it still has

The old process's log: 'another process takes clients in this one's place', then 'no descriptor is left for a connection to s1' and 's1 connect_failed, sent 0 ms ago'. When its place is taken its idle connections to backends are closed, and Succession._descriptors in cometdoor/__main__.py then holds it to what it has plus four: eight clients that go on to ask on kept connections need eight. Ruled out: the new process (its log has no refusal), the limit at the entry.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -120,7 +120,8 @@
             left = self._sockets - self._handover.others_descriptors() - self._own
             return min(max(left, FEWEST), self._alone)
         if self._yielded:
-            return min(descriptors.limit, descriptors.used + SPARE)
+            # Its idle connections to backends are closed: each client that is still here may ask for a new one.
+            return min(descriptors.limit, descriptors.used + max(SPARE, len(self._front.connections)))
         half = max(self._sockets // 2 - self._own, FEWEST)
         while descriptors.used > half and (self._front.make_room() or self._proxy.make_room()):
             pass
