Never start a send at a leaving server whose connection comes up after the news

The send counts from its first byte, and that leaves when the connection is up: with a connect_timeout_ms above stop_sending_within_ms an attempt chosen before a drain was told could start at the drained server up to the whole time-out later. Such attempts end 200 ms after it as never sent, and the module sends elsewhere. Ruled out by reading: kept connections (closed with the news), requests held at the entry (chosen when they start), bodies that still come (their first byte has left). Lines: Proxy._list_changed, which closed idle connections only.

Tests: one that fails without the mend.

--- a/cometdoor/config.py
+++ b/cometdoor/config.py
@@ -58,6 +58,7 @@
     max_open: int
     idle_close_ms: float
     connect_timeout_ms: float
+    stop_sending_ms: float  # after a server is announced as leaving
     may_advise_pause: bool  # clients may be told when to come back
     raw: dict[str, Any] = field(default_factory=dict)  # as it was read, without the list
     # Of the settings before: name -> place among the classes, for requests that fit those only.
@@ -159,6 +160,7 @@
         max_open=int(part(limits, "max_open", 20_000)),
         idle_close_ms=float(part(limits, "idle_close_ms", 15_000.0)),
         connect_timeout_ms=float(part(limits, "connect_timeout_ms", 250.0)),
+        stop_sending_ms=float(part(part(info, "obligations", {}), "stop_sending_within_ms", 250.0)),
         may_advise_pause=bool(part(limits, "retry_after", False)),
         raw={name: value for name, value in raw.items() if name != "known"},
     )
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -37,6 +37,8 @@
 # is kept for the way here and back, and for the loop to get round to it.
 MARGIN_MS = 20.0
 MARGIN_SHARE = 0.25  # but not more than this share of a very short time
+# Of the time in which sends to a leaving server have to end; the rest is for a loop that gets round to it late.
+LAST_START = 0.8
 # So much of the margin is left for the module's answer to the time-out of its attempts, before the host
 # answers in its place.
 LAST_WORD = 0.5
@@ -141,6 +143,7 @@
         self._by_client: dict[ClientConnection, LiveRequest] = {}
         self._addresses: dict[str, Address] = {}
         self._started_at: dict[str, float] = {}
+        self._ready: set[str] = set()
         self._last_id = 0
         self._events: deque[api.Event] = deque()
         self._handling = self._started = False
@@ -251,12 +254,17 @@
         if event.kind.tells_servers:
             if event.kind is not ListKind.DELTA:
                 for name in self._addresses.keys() - {server.name for server in event.servers}:
+                    self._leaves(name)
                     self._forget_server(name)
             for server in event.servers:
                 name = server.name
                 if (server.state is not State.READY or addresses.get(name) != self._addresses.get(name)
                         or server.started_at != self._started_at.get(name)):
                     self._pool.close_idle(name)
+                if server.state is State.READY:
+                    self._ready.add(name)
+                else:
+                    self._leaves(name)
                 if server.state is State.GONE:
                     self._forget_server(name)
                 else:
@@ -266,6 +274,22 @@
         if self._started and self._addresses:
             self._life.able()
 
+    def _leaves(self, name: str) -> None:
+        if name in self._ready:
+            self._ready.remove(name)
+            self._loop.call_later(LAST_START * self._config.stop_sending_ms / 1000.0, self._end_unsent, name)
+
+    def _end_unsent(self, name: str) -> None:
+        """A send counts from its first byte: one whose connection is still coming up never starts at a server that was
+        announced as leaving, however long the settings let a connection take."""
+        if name in self._ready:
+            return  # it has come back
+        for request in list(self._requests.values()):
+            for attempt in request.attempts:
+                if attempt.server == name and attempt.exchange is not None and not attempt.exchange.has_begun():
+                    log.info("%s: not sent to %s, which is leaving", request.message.trace_id, name)
+                    self._end_attempt(attempt, Outcome.CONNECT_FAILED)
+
     def _forget_server(self, name: str) -> None:
         self._pool.close_idle(name)
         self._addresses.pop(name, None)
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -89,6 +89,9 @@
     def is_written(self) -> bool:
         return self.connection is not None and self.connection.is_written()
 
+    def has_begun(self) -> bool:
+        return self.connection is not None and self.connection.has_begun()
+
     def abort(self) -> None:
         """Close the connection: the backend sees that nobody waits, and no late answer can be mixed up."""
         connection, self.connection = self.connection, None
@@ -194,6 +197,9 @@
             if body.length is None:
                 transport.write(b"0\r\n\r\n")
 
+    def has_begun(self) -> bool:
+        return self._wrote
+
     def is_written(self) -> bool:
         return self._wrote and not self._paused and self._sent_end
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -27,6 +27,8 @@
          {**INFO["lanes"][1], "name": "book"},  # type: ignore[index]
          {**INFO["lanes"][2], "name": "pay"}]  # type: ignore[index]
 
+started: list[int] = []  # proxies' processes; what a test leaves is ended after it (conftest)
+
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
     async def limited() -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -17,7 +17,7 @@
 from cometdoor.__main__ import Evacuation
 from cometdoor.control import Door, operators_calls
 from cometdoor.lifecycle import LifeCycle, Phase
-from tests.rig import Caller, FakeServer, Message, Rig, make_config, member, run
+from tests.rig import Caller, FakeServer, Message, Rig, make_config, member, run, started
 from tests.test_process import ROOT, free_port, until_serving
 
 UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -190,9 +190,11 @@
     path = folder / "config.json"
     path.write_text(json.dumps(config))
     environment = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
-    return await asyncio.create_subprocess_exec(
+    process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "cometdoor", cwd=ROOT, stderr=asyncio.subprocess.PIPE, pass_fds=fds,
         env={**environment, "NODE_CONFIG": str(path), **variables})
+    started.append(process.pid)
+    return process
 
 
 def test_a_control_address_that_is_malformed_or_taken_ends_the_start(tmp_path: Path) -> None:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -10,12 +10,14 @@
 import tracemalloc
 from collections.abc import Iterator
 from typing import Any
+from unittest import mock
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from cometdoor.discovery import ListReader
+from cometdoor.upstream import Connection
 from cometdoor.watch import Objects
 from jasperhall import api
 from jasperhall.balancer import Balancer
@@ -175,6 +177,37 @@
     run(test)
 
 
+def test_a_send_whose_connection_comes_up_late_does_not_start_at_a_server_that_leaves() -> None:
+    """The settings let a connection take longer than sends to a leaving server may go on."""
+
+    async def test() -> None:
+        discovery, leaving, staying = [await FakeServer().start() for _ in range(3)]
+        members = [member("s1", leaving.address), member("s2", staying.address)]
+        connect = Connection._connect
+
+        async def slow(connection: Connection) -> None:
+            if connection.server == "s1":
+                await asyncio.sleep(1.0)
+            await connect(connection)
+        with mock.patch.object(Connection, "_connect", slow):
+            rig = await Rig().start(*members, discovery=discovery.address, limits={"connect_timeout_ms": 3000.0})
+            call = await discovery.next()
+            call.open_stream()
+            callers = [await rig.caller() for _ in range(6)]
+            for number, caller in enumerate(callers):
+                caller.ask("pay", trace=f"{number:016x}")  # no copy is made of such
+            await asyncio.sleep(0.1)
+            call.send_list(42, False, {**members[0], "phase": "terminating"})
+            for _ in callers:
+                (await staying.next()).reply(200, b"x")
+            assert [(await caller.answer()).status for caller in callers] == [200] * 6
+            await asyncio.sleep(1.0)
+        assert leaving.connections == 0
+        rig.proxy.stop()
+
+    run(test)
+
+
 # --- how lists are read ---
 
 NAMES = st.text(alphabet='ab{}[]",\\\n é', max_size=6)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.rig import LANES, Caller, FakeServer, make_config, member, run
+from tests.rig import LANES, Caller, FakeServer, make_config, member, run, started
 
 ROOT = Path(__file__).parent.parent
 
@@ -29,8 +29,10 @@
         path = folder / "config.json"
         path.write_text(config)
         environment["NODE_CONFIG"] = str(path)
-    return await asyncio.create_subprocess_exec(
+    process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "cometdoor", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE)
+    started.append(process.pid)
+    return process
 
 
 async def until_serving(process: asyncio.subprocess.Process) -> None:
