--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -10,8 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from jasperhall.api import NEVER_RAN, Outcome
+from mastlift.lab.emulator.backend import Attempt, Backend, BackendSpec, Calls
 from mastlift.lab.emulator.clock import Clock
 from mastlift.lab.emulator.machine import Job, Machine, MachineSpec
+from mastlift.lab.emulator.network import Network, NetworkSpec
 
 Draw = Callable[[random.Random], float]
 
@@ -129,3 +132,89 @@
     assert sorted(done) == [number for number, job in enumerate(jobs) if job.state == "done"]
     assert len(done) + turned_away + [job.state for job in jobs].count("off") == len(jobs)
     assert machine.worked >= sum(jobs[number].work for number in done) - 1e-6
+
+
+# --- servers on the network ---
+
+FAULTS = st.lists(st.tuples(
+    st.sampled_from(["send", "run", "die", "restart", "drain", "vanish", "cut", "heal", "cancel"]),
+    st.floats(0.01, 1.5), st.integers(0, 99)), max_size=60)
+
+
+@given(FAULTS, st.sampled_from(["all", "queued", "none"]), st.integers(0, 1000))
+def test_each_attempt_has_one_outcome_and_what_never_ran_did_not(steps: list[tuple[str, float, int]], cancel: str,
+                                                               seed: int) -> None:
+    clock = Clock()
+    network = Network(clock, NetworkSpec(), random.Random(seed))
+    spec = BackendSpec(MachineSpec(cores=2, slots=4, waiting=2), most=6, errors=0.2, cancel=cancel)
+    backends = [Backend(f"s{i}", i, spec, network, random.Random(seed + i)) for i in range(2)]
+    calls = Calls(clock, 0, 0.1, 5.0)
+    outcomes: list[list[Outcome]] = []
+    open_: list[Attempt] = []
+    for what, size, choice in steps:
+        backend = backends[choice % 2]
+        if what == "send":
+            outcomes.append([])
+            open_.append(calls.send(backend, size / 10, 1.0, outcomes[-1].append))
+        elif what == "cancel" and open_:
+            calls.cancel(open_[choice % len(open_)])
+        elif what == "die" and backend.state != "dead":
+            backend.die()
+        elif what == "restart":
+            backend.restart()
+        elif what in ("drain", "vanish") and backend.state == "up":
+            backend.state = "draining" if what == "drain" else "vanished"
+        elif what == "cut":
+            network.cut(0, 1, both=choice % 3 > 0)
+        elif what == "heal":
+            network.heal()
+        clock.run(clock.now + (size if what == "run" else 0.001))
+    clock.run(clock.now + 30.0)
+    assert all(len(told) == 1 for told in outcomes)
+    may_have_run = sum(told[0] not in NEVER_RAN for told in outcomes)
+    assert sum(backend.ran for backend in backends) <= may_have_run
+    assert not any(backend.machine.held for backend in backends)
+    kinds = {told[0] for told in outcomes}
+    assert Outcome.OK not in kinds or any(backend.ran for backend in backends)
+
+
+def test_what_a_server_does_is_told_as_the_protocol_says() -> None:
+    clock = Clock()
+    network = Network(clock, NetworkSpec(jitter=0.0), random.Random(1))
+    told: list[tuple[float, str, Outcome]] = []
+
+    def try_(state: str, then: Callable[[Backend], None] = lambda backend: None) -> None:
+        backend = Backend(state, 1, BackendSpec(MachineSpec(), handshake_s=0.001), network, random.Random(1))
+        start = clock.now
+        backend.state = state
+        calls = Calls(clock, 0, 0.1, 5.0)
+        calls.send(backend, 0.05, 0.5, lambda outcome: told.append((clock.now - start, state, outcome)))
+        clock.run(clock.now + 0.06)
+        then(backend)
+        clock.run(clock.now + 5.0)
+    try_("up")
+    try_("up", Backend.die)
+    try_("up", lambda backend: network.cut(1, 0, both=False))
+    network.heal()
+    for state in ("draining", "dead", "vanished"):
+        try_(state)
+    assert [(state, outcome) for _, state, outcome in told] == [
+        ("up", Outcome.OK), ("up", Outcome.RESET), ("up", Outcome.TIMEOUT), ("draining", Outcome.FULL),
+        ("dead", Outcome.CONNECT_FAILED), ("vanished", Outcome.CONNECT_FAILED)]
+    # Two round trips, the handshake's work, there, the work, and back: 6 ways of 7 ms.
+    assert [at for at, _, _ in told] == pytest.approx([0.093, 0.067, 0.5, 0.043, 0.028, 0.1])
+
+
+@pytest.mark.parametrize(("cancel", "left"), [("all", 0), ("queued", 1), ("none", 2)])
+def test_a_cancel_stops_what_the_server_lets_it_stop(cancel: str, left: int) -> None:
+    clock = Clock()
+    network = Network(clock, NetworkSpec(), random.Random(1))
+    backend = Backend("s", 0, BackendSpec(MachineSpec(waiting=5), cancel=cancel), network, random.Random(1))
+    calls = Calls(clock, 0, 0.1, 5.0)
+    told: list[Outcome] = []
+    attempts = [calls.send(backend, 5.0, 9.0, told.append) for _ in range(2)]
+    clock.run(1.0)
+    for attempt in attempts[::-1] * 2:
+        calls.cancel(attempt)
+    clock.run(2.0)
+    assert (told, backend.machine.held) == ([Outcome.CANCELLED] * 2, left)
