Put the real decisions into the emulator: a host without sockets, and open-loop arrivals

The host carries out the module's actions on the emulated network and decides nothing; arrivals are a thinned Poisson process that waits for nobody. Three proxies before nine servers at six tenths of their capacity: each request has one answer before its client's time is over, also while two servers die, vanish or become ten times slower in the middle, and a seed gives the same answers, times and attempts again.

--- a/mastlift/lab/emulator/backend.py
+++ b/mastlift/lab/emulator/backend.py
@@ -225,6 +225,10 @@
         if attempt.connection.attempt is attempt:
             attempt.connection.finish(Outcome.CANCELLED)
 
+    def close_idle(self, server: str) -> None:
+        for connection in list(self._idle.get(server, ())):
+            connection.close()
+
     def keep(self, connection: Connection) -> None:
         self._idle.setdefault(connection.backend.name, []).append(connection)
         connection.rest(min(self.keep_s, connection.backend.spec.idle_s))
--- /dev/null
+++ b/mastlift/lab/emulator/host.py
@@ -0,0 +1,140 @@
+"""A proxy in the emulator: the real decisions, carried out on the emulated network. No decision is made here."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+
+from jasperhall import api
+from jasperhall.balancer import Balancer
+from mastlift.lab.emulator.backend import Attempt, Backend, Calls
+from mastlift.lab.emulator.clock import Clock
+
+MARGIN_S = 0.02  # of a client's time is kept for the way there and back, as the real proxy does
+
+
+class Answer(Enum):
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+Answered = Callable[[Answer], None]
+
+
+class Live:
+    __slots__ = ("answered", "attempts", "ended", "until", "work")
+
+    def __init__(self, work: float, until: float, answered: Answered) -> None:
+        self.work, self.until = work, until
+        self.answered: Answered | None = answered  # None once it is
+        self.attempts: list[Attempt | None] = []  # None for one that was never made
+        self.ended: list[bool] = []
+
+
+class Host:
+    """`backends`: all that the list may name, by name. `watch` is called where the module asks for the list."""
+
+    def __init__(self, clock: Clock, settings: api.Settings, seed: int, backends: dict[str, Backend],
+                 connect_timeout_s: float = 0.25, keep_s: float = 5.0,
+                 watch: Callable[[], None] = lambda: None) -> None:
+        self._clock, self._settings, self._backends, self._watch = clock, settings, backends, watch
+        self._balancer = Balancer(settings, seed)
+        self.calls = Calls(clock, settings.zone, connect_timeout_s, keep_s)
+        self._live: dict[str, Live] = {}
+        self._events: deque[api.Event] = deque()
+        self._handling = False
+        self.sent = 0
+
+    def list_changed(self, kind: api.ListKind, servers: tuple[api.Server, ...]) -> None:
+        self._dispatch(api.ListChanged(kind, servers))
+
+    def ask(self, request: str, class_index: int, work: float, left_s: float, answered: Answered,
+            tenant: int = 0) -> None:
+        """`answered` is called exactly once, before `left_s` are over."""
+        left_s = max(left_s - MARGIN_S, 0.0)
+        self._live[request] = Live(work, self._clock.now + left_s, answered)
+        self._dispatch(api.RequestArrived(request, class_index, 1000.0 * left_s, tenant))
+
+    def _dispatch(self, event: api.Event) -> None:
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        while self._events:
+            for action in self._balancer.handle(self._events.popleft(), 1000.0 * self._clock.now):
+                self._carry_out(action)
+        self._handling = False
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Cancel(request, number):
+                live = self._live.get(request)
+                if live is not None and (attempt := live.attempts[number]) is not None:
+                    self.calls.cancel(attempt)
+            case api.Refuse(request):
+                self._answer(request, Answer.REFUSED)
+            case api.Fail(request):
+                self._answer(request, Answer.FAILED)
+            case api.SetTimer(token, after_ms):
+                self._clock.after(after_ms / 1000.0, lambda: self._dispatch(api.TimerFired(token)))
+            case api.Close(server):
+                self.calls.close_idle(server)
+            case api.Watch():
+                self._watch()
+
+    def _send(self, action: api.Send) -> None:
+        live = self._live[action.request]
+        number, now = len(live.attempts), self._clock.now
+        until = min(live.until, now + action.timeout_ms / 1000.0) if action.timeout_ms > 0 else live.until
+        live.attempts.append(None)
+        live.ended.append(False)
+
+        def ended(outcome: api.Outcome) -> None:
+            live.ended[number] = True
+            if outcome is api.Outcome.OK:
+                self._answer(action.request, Answer.SERVED)
+            self._dispatch(api.AttemptEnded(action.request, number, action.server, outcome, live.answered is None,
+                                            1000.0 * (self._clock.now - now)))
+            self._forget(action.request, live)
+        if live.answered is None or now >= until or number >= self._settings.max_attempts:
+            ended(api.Outcome.MOOT)
+            return
+        self.sent += 1
+        live.attempts[number] = self.calls.send(self._backends[action.server], live.work, until - now, ended)
+
+    def _answer(self, request: str, answer: Answer) -> None:
+        live = self._live[request]
+        answered, live.answered = live.answered, None
+        if answered is not None:
+            answered(answer)
+        self._forget(request, live)
+
+    def _forget(self, request: str, live: Live) -> None:
+        if live.answered is None and all(live.ended):
+            self._live.pop(request, None)
+
+
+class Arrivals:
+    """An open loop: drawn by a Poisson process whatever becomes of those before, so that nothing late goes unseen."""
+
+    def __init__(self, clock: Clock, rng: random.Random, per_s: Callable[[float], float], most_per_s: float,
+                 arrive: Callable[[], None]) -> None:
+        """`per_s` of a time, never above `most_per_s`: thinned (Lewis and Shedler 1979)."""
+        self._clock, self._rng, self._per_s, self._most, self._arrive = clock, rng, per_s, most_per_s, arrive
+        self._next()
+
+    def _next(self) -> None:
+        self._clock.after(self._rng.expovariate(self._most), self._due)
+
+    def _due(self) -> None:
+        self._next()
+        rate = self._per_s(self._clock.now)
+        if rate > self._most:
+            raise ValueError(f"{rate} arrivals a second, above the stated most of {self._most}")
+        if self._rng.random() * self._most < rate:
+            self._arrive()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -4,15 +4,18 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from jasperhall import api
 from jasperhall.api import NEVER_RAN, Outcome
 from mastlift.lab.emulator.backend import Attempt, Backend, BackendSpec, Calls
 from mastlift.lab.emulator.clock import Clock
+from mastlift.lab.emulator.host import Answer, Arrivals, Host
 from mastlift.lab.emulator.machine import Job, Machine, MachineSpec
 from mastlift.lab.emulator.network import Network, NetworkSpec
 
@@ -218,3 +221,58 @@
         calls.cancel(attempt)
     clock.run(2.0)
     assert (told, backend.machine.held) == ([Outcome.CANCELLED] * 2, left)
+
+
+# --- proxies with the real decisions ---
+
+
+def day(seed: int, fault: str = "", seconds: float = 40.0) -> tuple[Counter[Answer], list[float], int]:
+    """Three proxies before nine servers at six tenths of what they can do: answers, latest moments, attempts."""
+    clock = Clock()
+    network = Network(clock, NetworkSpec(), random.Random(seed))
+    classes = tuple(api.RequestClass(aim_ms=1000, deadline_ms=3000, effect=effect)
+                    for effect in (api.Effect.SAFE, api.Effect.UNSAFE))
+    spec = BackendSpec(MachineSpec(cores=2, slots=20, waiting=10), most=100)
+    backends = {f"s{i}": Backend(f"s{i}", i % 3, spec, network, random.Random(seed * 100 + i)) for i in range(9)}
+    entries = tuple(api.Server(name, zone=backend.zone) for name, backend in backends.items())
+    hosts = [Host(clock, api.Settings(classes=classes, balancers=3, position=i, zone=i), seed + i, backends)
+             for i in range(3)]
+    answers: Counter[Answer] = Counter()
+    late: list[float] = []
+    rng = random.Random(seed)
+    asked = 0
+
+    def arrive(host: Host) -> None:
+        nonlocal asked
+        asked += 1
+        until, number = clock.now + 3.0, asked
+
+        def answered(answer: Answer) -> None:
+            answers[answer] += 1
+            late.append(clock.now - until)
+        host.ask(f"{number}", int(rng.random() < 0.2), rng.expovariate(1 / 0.1), 3.0, answered)
+    for host in hosts:
+        host.list_changed(api.ListKind.FULL, entries)
+        Arrivals(clock, random.Random(rng.random()), lambda now: 36.0 if now < seconds else 0.0, 36.0,
+                 lambda host=host: arrive(host))  # type: ignore[misc]
+    clock.run(seconds / 4)
+    for backend in list(backends.values())[:2]:
+        if fault == "die":
+            backend.die()
+        elif fault == "vanish":
+            backend.state = "vanished"
+        elif fault == "slow":
+            backend.machine.slow(0.1)
+    clock.run(seconds + 10.0)
+    assert sum(answers.values()) == asked > 2.5 * 36 * seconds
+    assert not any(host._live for host in hosts)
+    return answers, late, sum(host.sent for host in hosts)
+
+
+@pytest.mark.parametrize("fault", ["", "die", "vanish", "slow"])
+def test_each_request_gets_one_answer_in_time_and_a_seed_replays(fault: str) -> None:
+    answers, late, sent = day(3, fault)
+    assert max(late) < 0.0
+    assert answers[Answer.SERVED] > (0.995 if not fault else 0.85) * len(late)
+    assert (answers, late, sent) == day(3, fault)
+    assert late != day(4, fault)[1]
