--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -67,8 +67,8 @@
 def widest_pause_ms(left_ms: float) -> float:
     """Before the next call for a list, where so much is left until news is due.
 
-    As wide as may be: all watches fall silent at one moment when discovery's machine does. Wide again the longer
-    news is overdue for certain.
+    As wide as may be: all watches fall silent at one moment when discovery's machine does. Wide again the
+    longer news is overdue for certain.
     """
     return LINE_SHARE * max(left_ms, -left_ms - api.LINE_MS, 0.0)
 
