--- a/tests/discofleet.py
+++ b/mastlift/lab/emulator/lists.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
 import json
 import random
 from collections import deque
@@ -19,60 +18,59 @@
 from cometdoor.discovery import Discovery, ListReader
 from jasperhall import api
 from jasperhall.balancer import Balancer
-from tests.rig import member
+from mastlift.lab.emulator.clock import Clock, Due
 
+START_S = 1000.0
 GRACE_S, NEWS_DUE_S, LINE_S = 0.25, 6.0, 2.0  # of the terms, and not taken from the program
 # With 10 s to ask within, the widest pause after one failure happens to end in time.
 SETTINGS = api.Settings(classes=(api.RequestClass(aim_ms=1000, deadline_ms=3000),), ask_within_ms=40_000.0)
 
 
-class Handle:
-    def __init__(self, call: Callable[[], None]) -> None:
-        self.call = call
-        self.cancelled = False
-
-    def cancel(self) -> None:
-        self.cancelled = True
-
-
 class Loop:
-    """What the watch code uses of an event loop, on a clock of its own."""
+    """What the watch code uses of an event loop, on the emulator's clock."""
 
     def __init__(self) -> None:
-        self.now = 1000.0
-        self._due: list[tuple[float, int, Handle]] = []
-        self._order = count()
+        self._clock = Clock()
         self.connect: Callable[[Callable[[], Any]], None] = lambda make: None
 
+    @property
+    def now(self) -> float:
+        return START_S + self._clock.now
+
     def time(self) -> float:
         return self.now
 
-    def call_later(self, after_s: float, call: Callable[..., None], *args: Any) -> Handle:
-        handle = Handle(lambda: call(*args))
-        heapq.heappush(self._due, (self.now + max(after_s, 0.0), next(self._order), handle))
-        return handle
+    def call_later(self, after_s: float, call: Callable[..., None], *args: Any) -> Due:
+        return self._clock.after(max(after_s, 0.0), lambda: call(*args))
 
     async def create_connection(self, make: Callable[[], Any], *_address: Any) -> None:
         self.connect(make)
 
-    def create_task(self, work: Coroutine[Any, Any, None]) -> Handle:
-        def step() -> None:
-            if not handle.cancelled:
-                try:
-                    work.send(None)
-                except StopIteration:
-                    return
-            work.close()
-        handle = Handle(step)
-        heapq.heappush(self._due, (self.now, next(self._order), handle))
-        return handle
+    def create_task(self, work: Coroutine[Any, Any, None]) -> Task:
+        return Task(self._clock, work)
 
     def run_until(self, end: float) -> None:
-        while self._due and self._due[0][0] <= end:
-            self.now, _, handle = heapq.heappop(self._due)
-            if not handle.cancelled or handle.call.__name__ == "step":
-                handle.call()
-        self.now = end
+        self._clock.run(end - START_S)
+
+
+class Task:
+    """Of a coroutine that waits for nothing."""
+
+    def __init__(self, clock: Clock, work: Coroutine[Any, Any, None]) -> None:
+        self._work = work
+        self._due = clock.after(0.0, self._step)
+
+    def _step(self) -> None:
+        try:
+            self._work.send(None)
+        except StopIteration:
+            return
+        raise RuntimeError("it waits for something")
+
+    def cancel(self) -> None:
+        if self._due.call is not None:  # else it has run, or calls this itself
+            self._due.cancel()
+            self._work.close()
 
 
 class Wire:
@@ -106,11 +104,6 @@
     def abort(self) -> None:
         self.closed = True
 
-    close = abort
-
-    def is_closing(self) -> bool:
-        return self.closed
-
 
 @dataclass
 class Proxy:
@@ -163,7 +156,8 @@
         self.loop = Loop()
         self.loop.connect = self._connect
         self.service_s, self.wait_s = all_call_s / proxies, wait_s
-        self.members = {name: member(name, "127.0.0.1:9", locality="ab"[i % 2], cell=i // 3)
+        self.members = {name: {"id": name, "host_port": "127.0.0.1:9", "locality": "ab"[i % 2], "flavor": "std",
+                               "cell": i // 3, "phase": "in_service", "size": 1.0, "up_since_ms": 0}
                         for i, name in enumerate(f"s{i}" for i in range(servers))}
         self.changes: list[str] = []  # the name that each revision changed
         self.line: deque[Wire] = deque()
@@ -174,7 +168,6 @@
         self.busy = False
         self.is_down = False
         self.stalled_until = self.mute_until = 0.0
-        self.indent: int | None = None
         self.addresses = range(proxies)
         self.proxies = [Proxy(self, number) for number in self.addresses]
 
@@ -275,7 +268,7 @@
 
     def _tell(self, wire: Wire, entries: list[dict[str, Any]]) -> None:
         told = {"revision": len(self.changes), "complete": False, "members": entries}
-        wire.chunk(json.dumps(told, indent=self.indent).encode() + b"\n")
+        wire.chunk(json.dumps(told).encode() + b"\n")
         proxy = self.proxies[wire.protocol._owner._sources.current[1] - 1]
         proxy.silent_since = None
         for entry in entries:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -21,7 +21,7 @@
 from cometdoor.watch import Objects
 from jasperhall import api
 from jasperhall.balancer import Balancer
-from tests.discofleet import GRACE_S, NEWS_DUE_S, SETTINGS, World
+from mastlift.lab.emulator.lists import GRACE_S, NEWS_DUE_S, SETTINGS, World
 from tests.rig import FakeServer, Rig, member, run
 
 BOTH = pytest.mark.parametrize("asked", [True, False])
