Read the clock again when an attempt's connection is up, not only at the decision

At fault: upstream.Connection.connection_made wrote whatever the clock said; Proxy.client_gone left attempts that may not be called off (limits.cancel false) waiting for their connection, and so did Proxy._answer; the end of the grace was a timer that the loop may reach after the connection.

Now api.Send says how long the key is still known from the first send that may have run; Exchange.may_start is asked when the first byte is about to leave; what waits for a connection ends as never sent once nothing is owed.

Ruled out as faults before: a window shorter than an attempt (the module held it already).

--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -65,19 +65,29 @@
 
 
 class Attempt:
-    __slots__ = ("ended", "exchange", "index", "outcome", "request", "sent_at", "server", "timer", "until")
+    __slots__ = ("ended", "exchange", "index", "outcome", "request", "sent_at", "server", "starts_until", "timer",
+                 "until")
 
-    def __init__(self, request: LiveRequest, index: int, server: str, sent_at: float, until: float) -> None:
+    def __init__(self, request: LiveRequest, index: int, server: str, sent_at: float, until: float,
+                 starts_until: float) -> None:
         self.request = request
         self.index = index
         self.server = server
         self.sent_at = sent_at
         self.until = until
+        self.starts_until = starts_until  # its first byte leaves before that, or never
         self.ended = False
         self.outcome = "out"
         self.exchange: Exchange | None = None
         self.timer: Timer | None = None
 
+    def may_start(self) -> bool:
+        """The clock is read at the send: a connection, or the loop, may come round late."""
+        return now_ms() < min(self.starts_until, self.until)
+
+    def waits(self) -> bool:
+        return not self.ended and self.exchange is not None and self.exchange.waits()
+
 
 class UnservedLog:
     """Why a request was not served, by the id that its caller gave it; a flood of them is cut short."""
@@ -277,18 +287,21 @@
     def _leaves(self, name: str) -> None:
         if name in self._ready:
             self._ready.remove(name)
-            self._loop.call_later(LAST_START * self._config.stop_sending_ms / 1000.0, self._end_unsent, name)
-
-    def _end_unsent(self, name: str) -> None:
+            grace_ms = LAST_START * self._config.stop_sending_ms
+            waiting = [attempt for request in self._requests.values() for attempt in request.attempts
+                       if attempt.server == name and attempt.waits()]
+            for attempt in waiting:
+                attempt.starts_until = min(attempt.starts_until, now_ms() + grace_ms)
+            if waiting:
+                self._loop.call_later(grace_ms / 1000.0, self._end_unsent, waiting)
+
+    def _end_unsent(self, waiting: list[Attempt]) -> None:
         """A send counts from its first byte: one whose connection is still coming up never starts at a server that was
         announced as leaving, however long the settings let a connection take."""
-        if name in self._ready:
-            return  # it has come back
-        for request in list(self._requests.values()):
-            for attempt in request.attempts:
-                if attempt.server == name and attempt.exchange is not None and not attempt.exchange.has_begun():
-                    log.info("%s: not sent to %s, which is leaving", request.message.trace_id, name)
-                    self._end_attempt(attempt, Outcome.CONNECT_FAILED)
+        for attempt in waiting:
+            if attempt.waits():
+                log.info("%s: not sent to %s, which is leaving", attempt.request.message.trace_id, attempt.server)
+                self._end_attempt(attempt, Outcome.CONNECT_FAILED)
 
     def _forget_server(self, name: str) -> None:
         self._pool.close_idle(name)
@@ -341,11 +354,19 @@
         if request is not None:
             request.client = None
             self._stop_timer(request)
+            self._end_unbegun(request)
             self._dispatch(api.ClientGone(request.id))
             if request.owner is not None:
                 self._end_attempt(request.owner, Outcome.CANCELLED)
             self._clean_up(request)
 
+    def _end_unbegun(self, request: LiveRequest) -> None:
+        """Nothing is owed to its client any more: what waits for its connection is never written, also where an
+        attempt that has begun may not be called off."""
+        for attempt in request.attempts:
+            if attempt.waits():
+                self._end_attempt(attempt, Outcome.MOOT)
+
     def _out_of_time(self, request: LiveRequest) -> None:
         """Guards against a request that the module is silent about: its client gets an answer in time."""
         if request.client is not None and request.owner is None:
@@ -410,6 +431,7 @@
         if request.owner is not None:
             return  # its answer is on its way
         client = self._leave_client(request)
+        self._end_unbegun(request)
         if client is not None:
             if status != 200:
                 self._unserved.write(request, status)
@@ -423,7 +445,7 @@
         until = request.until
         if action.timeout_ms > 0 and not request.message.is_coming():
             until = min(until, now + action.timeout_ms)
-        attempt = Attempt(request, len(request.attempts), action.server, now, until)
+        attempt = Attempt(request, len(request.attempts), action.server, now, until, now + action.start_within_ms)
         request.attempts.append(attempt)
         if (request.client is None or request.owner is not None or now >= until
                 or len(request.attempts) > self._config.settings.max_attempts):
@@ -437,7 +459,7 @@
             lambda: self._payload(request.message, attempt.until),
             lambda outcome, answer: self._attempt_done(attempt, outcome, answer),
             lambda headers, length, source: self._answer_begins(attempt, headers, length, source),
-            request.message.inflow)
+            request.message.inflow, attempt.may_start)
         self._limit(attempt, until)
         if not self._pool.send(action.server, address, attempt.exchange):
             log.warning("no descriptor is left for a connection to %s", action.server)
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -76,21 +76,23 @@
 class Exchange:
     """One attempt on the wire. `done` is called once, unless the exchange is aborted first."""
 
-    __slots__ = ("begun", "body", "connection", "done", "payload")
+    __slots__ = ("begun", "body", "connection", "done", "may_start", "payload")
 
     def __init__(self, payload: Callable[[], bytes], done: Done, begun: Begun = lambda *_: None,
-                 body: Inflow | None = None) -> None:
+                 body: Inflow | None = None, may_start: Callable[[], bool] = lambda: True) -> None:
         self.payload = payload  # made when it is written: it says how much time is left then
         self.done = done
         self.begun = begun
+        self.may_start = may_start  # asked when its first byte is about to leave, however late that is
         self.body = body  # a long one, that follows the payload while it comes
         self.connection: Connection | None = None
 
     def is_written(self) -> bool:
         return self.connection is not None and self.connection.is_written()
 
-    def has_begun(self) -> bool:
-        return self.connection is not None and self.connection.has_begun()
+    def waits(self) -> bool:
+        """No byte of it has left: its connection is still coming up."""
+        return self.connection is not None and not self.connection.has_begun()
 
     def abort(self) -> None:
         """Close the connection: the backend sees that nobody waits, and no late answer can be mixed up."""
@@ -169,6 +171,9 @@
     def _write(self) -> None:
         assert self._transport is not None and self.exchange is not None
         exchange = self.exchange
+        if not exchange.may_start():
+            self._finish(Outcome.CONNECT_FAILED)
+            return
         self._wrote = True
         self._answer = None
         self._sent_end = exchange.body is None
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -271,6 +272,8 @@
     request: str
     server: str
     timeout_ms: float = 0.0  # 0: until the client gives up
+    # Its first byte has to leave before that, else it never does: a connection may come up after a key's window.
+    start_within_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -376,6 +376,13 @@
         """The first attempt that ran or can still run."""
         return next((attempt for attempt in self.attempts if not attempt.never_ran), None)
 
+    def repeats_until(self) -> float:
+        """By when a further attempt has to start: rule 2."""
+        first = self.may_have_run()
+        if first is None or self.cls.effect is Effect.SAFE:
+            return math.inf
+        return first.sent_at + self.cls.key_ttl_ms if self.cls.effect is Effect.KEYED else -math.inf
+
 
 class AttemptBudget:
     """Rule 5: attempts past each request's first, retries and copies alike, over a sliding window.
@@ -926,14 +933,12 @@
             return False
         if request.outstanding() and not self._settings.may_duplicate:
             return False
-        first = request.may_have_run()
-        if first is None or request.cls.effect is Effect.SAFE:
-            return True
-        return request.cls.effect is Effect.KEYED and now - first.sent_at < request.cls.key_ttl_ms
+        return now < request.repeats_until()
 
     def _send(self, request: Request, now: float) -> bool:
         member = self._pick(request, now) if self._may_send(request, now) else None
         if member:
+            starts_until = request.repeats_until()
             if request.attempts:
                 self._budget.sent(now)
             if self._idle.distrusts(member, now):
@@ -944,7 +949,7 @@
             self._outstanding += 1
             self._count_send(member, now)
             limit_ms = 0.0 if request.coming else request.gives_up_at - now
-            self._actions.append(api.Send(request.id, member.name, limit_ms))
+            self._actions.append(api.Send(request.id, member.name, limit_ms, starts_until - now))
         elif not request.outstanding():
             self._give_up(request)
         return member is not None
