Notice clients that leave while they are not read, and serve those that only ended their sending

At fault: ClientConnection._regulate stops reading once four requests are ahead or a long body is full. From then on neither an end nor a reset reaches eof_received or connection_lost, and _next began one attempt after another for nobody. And eof_received took every end of sending for a close.

Now a connection that is not read is looked at every 40 ms. A connection's input is a state now: open, ended, unwanted.

A limit: an end behind more bytes than the machine's buffers hold (a long body that nobody reads) is seen once they are read.

--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Protocol, cast
 
 import httptools
@@ -35,6 +36,9 @@
 FORMER_S = 3.0  # clients name new classes 1.2 s after the signal, and have sent requests before
 BUSY_PAUSE_MS = 500.0  # a caller refused for want of room here is told to come back after that
 LINGER_S = 1.0  # a caller whose input was bad may go on sending for so long; it is read and dropped
+# A caller that has gone must not be worked for 0.1 s later. While it is not read, its end shows only by a look; and
+# whether it has closed or only ended its sending shows by what its machine makes of a few bytes.
+LOOK_FOR_END_S, LOOK_FOR_RESET_S = 0.04, 0.015
 LONGEST_LINGER_S = 30.0  # and one whose body is not wanted any more, while it goes on
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout",
@@ -162,6 +166,14 @@
         raise problem
 
 
+class Input(Enum):
+    """What a caller may still send."""
+
+    OPEN = "open"
+    ENDED = "ended"  # it has ended its sending; perhaps it still reads (half-close)
+    UNWANTED = "unwanted"  # what comes is dropped: it was bad, or the connection is over
+
+
 class ClientConnection(asyncio.BufferedProtocol):
     def __init__(self, front: Frontend) -> None:
         self._front = front
@@ -185,7 +197,9 @@
         self._reading_paused = False
         self._paused_at = 0.0
         self._unread = False  # answers wait that the caller does not read
-        self._deaf = False  # what comes is dropped: the input was bad, or the connection is over
+        self._input = Input.OPEN
+        self._look: asyncio.TimerHandle | None = None  # for the end of a caller that is not read
+        self._asked_for_reset = False
         self._linger: asyncio.TimerHandle | None = None
         self._linger_until = 0.0
         self._read_timer: asyncio.TimerHandle | None = None
@@ -207,14 +221,14 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         self._heard_at = self._front.loop.time()
-        if self._deaf:
+        if self._input is not Input.OPEN:
             return
         was_in_head = self._in_head
         try:
             self._parser.feed_data(self._front.budget.room()[:nbytes])
         except httptools.HttpParserUpgrade:
             # Not a parser error to httptools. What follows is not HTTP: the request is the connection's last.
-            self._deaf = True
+            self._input = Input.UNWANTED
             if self._ahead:
                 self._ahead[-1].keep_alive = False
         except httptools.HttpParserError as problem:
@@ -281,13 +295,27 @@
             self._source.resume()
         self._next()
 
-    def eof_received(self) -> None:
-        self._gone()
+    def eof_received(self) -> bool:
+        """True: the connection stays, since answers are owed that the caller may still read."""
+        if self._is_over() or (self._input is Input.UNWANTED and not self._owes()):
+            self._gone()
+            return False
+        if self._input is Input.OPEN and self._in_request:
+            self._bad_input(BadRequest(400, "the request breaks off"))
+        self._input = Input.ENDED
+        self._reading_paused = False
+        self._next()
+        if not self._owes():
+            self._gone()
+            return False
+        self._ask_for_reset()
+        return True
 
     def connection_lost(self, problem: Exception | None) -> None:
         self._gone()
         self._stop_read_timer()
         self._stop_stall_timer()
+        self._stop_looking()
         if self._linger is not None:
             self._linger.cancel()
         self._front.closed(self)
@@ -296,6 +324,58 @@
         self._coming = None
         del self._parser
 
+    # --- callers that have gone ---
+
+    def _owes(self) -> bool:
+        return self.request is not None or bool(self._ahead)
+
+    def _ask_for_reset(self) -> None:
+        """Tell a close from a half-close: both send the same, but only a closed socket resets what it gets.
+
+        An interim answer is what every caller of HTTP/1.1 may get at any time before its answer (RFC 9110, 15.2). While
+        an answer is on its way its own bytes ask the same.
+        """
+        assert self._transport is not None
+        request = self.request
+        if request is not None and request.is_old:
+            self._gone()  # it knows no interim answer
+            self._transport.close()
+            return
+        if request is not None and self._source is None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._asked_for_reset = True
+        self._look_after(LOOK_FOR_RESET_S)
+
+    def _look_after(self, pause_s: float) -> None:
+        self._stop_looking()
+        self._look = self._front.loop.call_later(pause_s, self._look_for_end)
+
+    def _stop_looking(self) -> None:
+        if self._look is not None:
+            self._look.cancel()
+            self._look = None
+
+    def _look_for_end(self) -> None:
+        """Of one that is not read, and tells of its end to nobody who does not look."""
+        self._look = None
+        if self._is_over() or not self._owes():
+            return
+        seen = self._poll(select.POLLRDHUP)
+        if seen & (select.POLLERR | select.POLLHUP):
+            assert self._transport is not None
+            self._gone()
+            self._transport.abort()
+        elif seen & select.POLLRDHUP and self._input is Input.OPEN and not self._asked_for_reset:
+            self._ask_for_reset()
+        elif self._reading_paused or self._input is Input.ENDED:
+            self._look_after(LOOK_FOR_END_S)
+
+    def _poll(self, events: int) -> int:
+        assert self._transport is not None
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), events)
+        return next((seen for _, seen in poll.poll(0)), 0)
+
     # --- httptools' calls ---
 
     def on_message_begin(self) -> None:
@@ -423,7 +503,7 @@
 
     def _regulate(self) -> None:
         """Read only what can be kept or passed on."""
-        if self._transport is None or self._is_over():
+        if self._transport is None or self._is_over() or self._input is Input.ENDED:
             return
         coming = self._coming.inflow if self._coming is not None else None
         full = len(self._ahead) >= MAX_AHEAD or (self._unread and self._source is None) or (
@@ -435,7 +515,9 @@
         if full:
             self._paused_at = now
             self._transport.pause_reading()
+            self._look_after(LOOK_FOR_END_S)
         else:
+            self._stop_looking()
             # The caller could not go on: none of this time was its own.
             for name in ("_began_at", "_body_at", "_heard_at"):
                 setattr(self, name, getattr(self, name) + now - self._paused_at)
@@ -498,8 +580,8 @@
     def _keeps(self, request: ClientRequest) -> bool:
         # While the front end is closing, what was sent ahead on the connection is still answered first. The
         # rest of a body that is not wanted any more is in the way of the next request.
-        return (request.keep_alive and not request.is_coming()
-                and not (self._front.closing and not self._ahead))
+        is_last = self._front.closing or self._input is Input.ENDED
+        return request.keep_alive and not request.is_coming() and not (is_last and not self._ahead)
 
     @staticmethod
     def _head(status: int, headers: Headers, framing: bytes, keep: bool, is_old: bool) -> bytes:
@@ -513,7 +595,10 @@
         return b"".join(lines)
 
     def _go_on(self, keep: bool, is_coming: bool = False) -> None:
-        if not keep:
+        if not keep and self._input is Input.ENDED:
+            self._drop_ahead()
+            self.close()  # nothing can come that would reset the answer
+        elif not keep:
             self._end(LONGEST_LINGER_S if is_coming else LINGER_S)
         elif self._ahead or self._owes_continue:
             self._front.loop.call_soon(self._next)
@@ -522,7 +607,7 @@
 
     def _bad_input(self, problem: BadRequest) -> None:
         """What follows can't be read. Requests taken before it are answered first."""
-        self._deaf = True
+        self._input = Input.UNWANTED
         self._in_request = self.is_new = self._owes_continue = False
         coming, self._coming = self._coming, None
         if coming is not None and coming.inflow is not None:
@@ -542,7 +627,7 @@
 
     def _end(self, linger_s: float) -> None:
         """Guards against a reset that overtakes the answer: what the caller still sends is read first."""
-        self._deaf = True
+        self._input = Input.UNWANTED
         self._drop_ahead()
         if self._transport is not None and self._linger is None:
             if self._reading_paused and not self._transport.is_closing():
@@ -571,7 +656,7 @@
         return self._linger is not None or self._transport is None or self._transport.is_closing()
 
     def _gone(self) -> None:
-        self._deaf = True
+        self._input = Input.UNWANTED
         if self.request is not None:
             self._answered()
             self._front.handler.client_gone(self)
@@ -588,10 +673,7 @@
         """Nothing of a request has come, not even to the machine's own buffer."""
         if self.request is not None or self._ahead or self._in_request or self._is_over():
             return False
-        assert self._transport is not None
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not self._poll(select.POLLIN)
 
     def is_stuck(self, since: float) -> bool:
         """Half a head has come, and no byte more for long."""
--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,315 @@
+"""Clients that leave: no attempt begins for one more than 0.1 s later; one that only ended its sending is served."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from unittest import mock
+
+import pytest
+
+from cometdoor.frontend import LOOK_FOR_END_S, LOOK_FOR_RESET_S
+from cometdoor.upstream import Connection
+from jasperhall import api
+from tests.rig import Call, Caller, FakeServer, Rig, Script, first_to, member, run
+
+GONE_S = 0.1  # of the terms
+
+
+def close(caller: Caller) -> None:
+    caller.writer.close()
+
+
+def reset(caller: Caller) -> None:
+    raw = caller.writer.transport.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    caller.writer.transport.abort()
+
+
+WAYS = pytest.mark.parametrize("leave", [close, reset])
+
+
+async def noticed(rig: Rig) -> None:
+    """Nothing is owed to anybody; without end where a client's leaving goes unseen."""
+    while rig.proxy.owes_answers():
+        await asyncio.sleep(0.002)
+
+
+def test_the_looks_for_a_client_that_is_not_read_are_often_enough() -> None:
+    """One look finds its end, the next what its machine made of the interim answer; the rest is for the way."""
+    assert LOOK_FOR_END_S + LOOK_FOR_RESET_S <= 0.6 * GONE_S
+
+
+async def final(caller: Caller) -> int:
+    """The status of the final answer: interim ones may come before it."""
+    while (status := (await caller.answer()).status) < 200:
+        pass
+    return status
+
+
+async def nothing_begins(rig: Rig, backend: FakeServer) -> None:
+    """Whatever was still to begin would be there before this request, which comes later."""
+    other = await rig.caller()
+    other.ask(trace="barrier")
+    call = await backend.next()
+    assert call.message.headers["x-trace-id"] == "barrier"
+    call.reply(200, b"x")
+    assert (await other.answer()).status == 200
+
+
+@WAYS
+@pytest.mark.parametrize("ahead", [1, 3, 4, 9])
+def test_of_what_was_sent_ahead_nothing_begins_once_its_client_has_gone(leave: Callable[[Caller], None],
+                                                                     ahead: int) -> None:
+    """From the fourth on the connection is not read, and tells of its end to nobody who does not look."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            caller = await rig.caller()
+            for number in range(1 + ahead):
+                caller.ask(trace=f"t{number}")
+            call = await backend.next()
+            leave(caller)
+            await noticed(rig)
+            call.reply(200, b"late")
+            await nothing_begins(rig, backend)
+            assert not rig.proxy.owes_answers()
+
+    run(test)
+
+
+@WAYS
+def test_one_that_leaves_in_the_queue_is_not_sent_on(leave: Callable[[Caller], None]) -> None:
+    """The real module: the entry has no room, and then it has."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        rig = await Rig().start(member("s1", backend.address))
+        calls: list[Call] = []
+        callers = [await rig.caller() for _ in range(40)]
+        for number, caller in enumerate(callers):
+            caller.ask(trace=f"t{number}", left="9.0")
+        admission = rig.proxy._balancer._admission
+        while not admission.waiting or backend.calls.qsize() < admission.out:
+            await asyncio.sleep(0)
+        while not backend.calls.empty():
+            calls.append(await backend.next())
+        held = {request.id for waiting in admission.waiting.values() for request in waiting.values()}
+        waiting = [live.client for id, live in rig.proxy._requests.items() if id in held]
+        ports = {client._transport.get_extra_info("peername")[1] for client in waiting  # type: ignore[union-attr]
+                 if client is not None}
+        for caller in callers:
+            if caller.writer.get_extra_info("sockname")[1] in ports:
+                leave(caller)
+        while admission.waiting:
+            await asyncio.sleep(0.002)
+        for call in calls:
+            call.reply(200, b"x")
+        await nothing_begins(rig, backend)
+
+    run(test)
+
+
+@WAYS
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_one_that_leaves_while_its_connection_comes_up_is_never_written(leave: Callable[[Caller], None],
+                                                                     may_cancel: bool) -> None:
+    """Also where an attempt may not be called off: this one has not begun."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        up = asyncio.Event()
+        connect = Connection._connect
+
+        async def late(connection: Connection) -> None:
+            await up.wait()
+            await connect(connection)
+        rig = await Rig().start(member("s1", backend.address),
+                                limits={"connect_timeout_ms": 9000.0, "cancel": may_cancel})
+        with mock.patch.object(Connection, "_connect", late):
+            caller = await rig.caller()
+            caller.ask("pay", trace="t0")
+            while not rig.proxy._requests:
+                await asyncio.sleep(0)
+            leave(caller)
+            await noticed(rig)
+            up.set()
+        await nothing_begins(rig, backend)
+        assert not rig.proxy._requests
+
+    run(test)
+
+
+@WAYS
+def test_one_that_leaves_between_failure_and_retry_gets_no_retry(leave: Callable[[Caller], None]) -> None:
+    """Its connection is not read just then: requests sent ahead fill what is kept of it."""
+    async def test() -> None:
+        first, second = await FakeServer().start(), await FakeServer().start()
+        with Script().in_place() as script:
+
+            def react(event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.RequestArrived):
+                    return [api.Send(event.request, "s1")]
+                if isinstance(event, api.AttemptEnded) and not event.final:
+                    return [api.Send(event.request, "s2")]
+                return []
+            script.react = react
+            rig = await Rig().start(member("s1", first.address), member("s2", second.address))
+            caller = await rig.caller()
+            for number in range(6):
+                caller.ask(trace=f"t{number}")
+            call = await first.next()
+            leave(caller)
+            await noticed(rig)
+            call.reply(500)
+            other = await rig.caller()
+            other.ask(trace="barrier")
+            (await first.next()).reply(500)
+            call = await second.next()
+            assert call.message.headers["x-trace-id"] == "barrier"
+            call.reply(200)
+            assert (await other.answer()).status == 200
+
+    run(test)
+
+
+@WAYS
+def test_one_that_leaves_in_the_backup_delay_gets_no_backup(leave: Callable[[Caller], None]) -> None:
+    async def test() -> None:
+        servers = [await FakeServer().start() for _ in range(2)]
+        rig = await Rig().start(*(member(f"s{i}", server.address) for i, server in enumerate(servers)))
+        caller = await rig.caller()
+        for number in range(6):
+            caller.ask(trace=f"t{number}", left="0.5")
+        done, _ = await asyncio.wait([asyncio.ensure_future(server.next()) for server in servers],
+                                     return_when=asyncio.FIRST_COMPLETED)
+        call = done.pop().result()
+        leave(caller)
+        await call.closed()  # the attempt is called off, so no delay runs out
+        await asyncio.sleep(0.5)  # and the time to the backup passes
+        assert all(server.calls.empty() for server in servers)
+
+    run(test)
+
+
+@WAYS
+def test_one_that_leaves_with_half_a_long_body_sent_has_nothing_begun(leave: Callable[[Caller], None]) -> None:
+    """The body waits for its server, so it is not read on: its end lies behind bytes in the machine's buffer."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            rig = await Rig().start(member("s1", backend.address))
+            caller = await rig.caller()
+            caller.writer.write(b"POST /pay/1 HTTP/1.1\r\nX-Trace-Id: t0\r\nX-Qos: pay\r\nX-Expires-In: 9\r\n"
+                                b"Content-Length: 900000\r\n\r\n" + b"x" * 90_000)
+            arrived = await script.until(api.RequestArrived)
+            leave(caller)
+            await script.until(api.ClientGone)
+            script.react = first_to("s1")
+            rig.proxy._carry_out(api.Send(arrived.request, "s1"))
+            await nothing_begins(rig, backend)
+
+    run(test)
+
+
+def test_a_burst_of_clients_that_leave_at_once_leaves_nothing_behind() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            callers = [await rig.caller() for _ in range(90)]
+            for number, caller in enumerate(callers):
+                for place in range(1 + number % 7):
+                    caller.ask(trace=f"t{number}.{place}")
+            calls = [await backend.next() for _ in callers]
+            for number, caller in enumerate(callers):
+                (close if number % 2 else reset)(caller)
+            await noticed(rig)
+            for call in calls:
+                call.reply(200, b"late")
+            await nothing_begins(rig, backend)
+            assert not rig.proxy.owes_answers()
+
+    run(test)
+
+
+# --- a half-close is no close ---
+
+
+@pytest.mark.parametrize("ahead", [0, 2, 6])
+def test_one_that_ended_its_sending_gets_all_its_answers(ahead: int) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            caller = await rig.caller()
+            for number in range(1 + ahead):
+                caller.ask(trace=f"t{number}")
+            caller.writer.write_eof()
+            for number in range(1 + ahead):
+                call = await backend.next()
+                assert call.message.headers["x-trace-id"] == f"t{number}"
+                if not number:
+                    await asyncio.sleep(3 * GONE_S)
+                    assert rig.proxy.owes_answers()
+                call.reply(200, b"x")
+                assert await final(caller) == 200
+            assert await caller.ended()
+            while rig.front.connections:
+                await asyncio.sleep(0)
+
+    run(test)
+
+
+def test_one_that_ended_its_sending_and_then_closes_has_gone() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            caller = await rig.caller()
+            caller.ask()
+            await backend.next()
+            caller.writer.write_eof()
+            await asyncio.sleep(3 * GONE_S)
+            assert rig.proxy.owes_answers()
+            reset(caller)
+            await script.until(api.ClientGone)
+
+    run(test)
+
+
+@pytest.mark.parametrize("sent", [b"GET /read/1 HTTP/1.1\r\nX-Tra",
+                                  b"POST /pay/1 HTTP/1.1\r\nX-Trace-Id: t\r\nX-Qos: pay\r\nX-Expires-In: 9\r\n"
+                                  b"Content-Length: 9\r\n\r\nhalf"])
+def test_one_that_ended_its_sending_within_a_request_gets_an_error(sent: bytes) -> None:
+    async def test() -> None:
+        rig = await Rig().start()
+        caller = await rig.caller()
+        caller.writer.write(sent)
+        caller.writer.write_eof()
+        assert await final(caller) == 400
+        assert await caller.ended()
+
+    run(test)
+
+
+def test_one_of_http_1_0_that_ended_its_sending_has_gone() -> None:
+    """It knows no interim answers, so nothing can tell its half-close from a close."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            caller = await rig.caller()
+            caller.writer.write(b"GET /read/1 HTTP/1.0\r\nX-Trace-Id: t\r\nX-Qos: read\r\nX-Expires-In: 9\r\n\r\n")
+            await backend.next()
+            caller.writer.write_eof()
+            await script.until(api.ClientGone)
+            assert await caller.ended()
+
+    run(test)
