Use every change 6 s after discovery had it and could be reached, whatever call failed

Now the host says with each failure how long it is until what is missed counts as told (ListChanged.due_ms, in place of silent_ms), half of that at the most is the pause, and once it is overdue a new cycle of 6 s begins. A first line is waited for 4.2 s at the most. The sums stand beside the constants in cometdoor/discovery.py.

Shown: the fleet's clients in simulated time (the stand-in now holds proxies to the new term, goes down with refusals, resets or 503, and comes back with drains at once). Simulator: its host says no due time, so its pauses are as before.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -26,15 +26,21 @@
 log = logging.getLogger(__name__)
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
-# A watch says something every 2 s; the rest is for the way here and for a loop that gets round to it late. What a
-# silent watch misses counts as told 6 s after it was last heard, and sends have to end 250 ms later: until then all
-# proxies have to be served anew by a discovery that answers in turn, so every moment here is one less for that.
-SILENCE_S = LINE_MS / 1000.0 + 0.25
-# The first line waits its turn, and a call made anew goes to the end of the line: once news is overdue the time doubles
-# with each that gets none. Where the new call is silent too the sum is 2.25 s, a pause of half the 3.75 s left at the
-# most, and 2.1 s: 6.225 s.
-FIRST_LINE_S, LONGEST_FIRST_LINE_S = 2.1, 8.4
+# Whatever fails, a change is in use 6 s after discovery had it and could be reached, and sends end 250 ms later. All
+# proxies have to be served in that time by a discovery that answers in turn: of what is left after a failure half is for
+# the pause, drawn by each, and half for discovery's line. The longest ways, each from its worst moment:
+#   a watch falls silent        2.25 s to notice + 1.875 s pause + 1.875 s line = 6.0 s
+#   and its new call is silent  2.25 s + 1.875 s + 2.1 s to give the call up = 6.225 s, and a new cycle begins
+#   discovery returns while a call waits in vain  2.1 s to its end + 1.95 s pause + 1.95 s line = 6.0 s
+#   the same where news was overdue before:       4.2 s + 0.9 s + 0.9 s = 6.0 s
+#   or right after a call was refused, reset or answered 503: 1.95 s pause + 4.05 s line = 6.0 s
+# What can't be told in time has no such sum: by a discovery that takes longer for a call of each proxy than the shares
+# for its line, or that lets a call wait for more than 4.2 s.
+SILENCE_S = LINE_MS / 1000.0 + 0.25  # a watch says something every 2 s; the rest is for the way and for a late loop
+# The first line waits its turn, and a call made anew goes to the end of the line: with news overdue the time doubles.
+FIRST_LINE_S, LONGEST_FIRST_LINE_S = 2.1, 4.2
 NEWS_DUE_S = NEWS_DUE_MS / 1000.0
+MOVE_DUE_S = 4.0  # of the terms: from SIGHUP on, what the new address has to tell
 SEVERAL_SILENCE_S = 3.0  # of one of several addresses: 6 s less a hop, FIRST_ANSWER_S, another hop, and an answer
 KEEP_EVERY_S = 1.0  # a list that changes is written to its file no more often
 # Between calls where lists are pushed. What the agent gets at discovery's return counts at once: 250 ms less an answer.
@@ -103,7 +109,8 @@
         self._watch: WatchConnection | None = None
         self._pause_s = FIRST_PAUSE_S
         self._first_line_s = FIRST_LINE_S
-        self._news_due = math.inf  # when what a silent watch missed counts as told
+        self._news_due = loop.time() + NEWS_DUE_S  # when what is missed counts as told
+        self._moved_at = -math.inf
         self._moving: asyncio.TimerHandle | None = None  # the next call, where it is not the module's to order
         self._list_file = list_file
         self._keeping: asyncio.TimerHandle | None = None
@@ -135,6 +142,8 @@
             return
         log.info("discovery moves to %s:%d", *self._sources.current)
         self._pause_s = FIRST_PAUSE_S
+        self._moved_at = self.loop.time()
+        self._news_due = min(self._news_due, self._moved_at + MOVE_DUE_S)
         self._stop_moving()
         self._moving = self.loop.call_later(random.uniform(0.0, MOVE_SPREAD_S), self.watch)
 
@@ -184,7 +193,7 @@
                 self._members[member["id"]] = member
         self._pause_s = FIRST_PAUSE_S
         self._first_line_s = FIRST_LINE_S
-        self._news_due = math.inf
+        self._is_told()
         self._sources.worked()
         self._strange = 0
         if self._watch is not None:
@@ -207,7 +216,7 @@
             self._moving = self.loop.call_later(soon, self.watch)
             return
         if self._must_ask:
-            self._deliver(ListChanged(ListKind.FAILED), {})
+            self._deliver(ListChanged(ListKind.FAILED, due_ms=1000.0 * self._due_in_s()), {})
             return
         self._call_after(self._pause_s * random.uniform(0.5, 1.0))
         longest_s = SEVERAL_PAUSE_S if self._sources.several else LONGEST_PAUSE_S
@@ -222,19 +231,33 @@
             return
         log.info("discovery: silent for %.2f s", silent_s)
         now = self.loop.time()
-        self._news_due = min(self._news_due, now - silent_s + NEWS_DUE_S)
-        if not watch.is_answered and now > self._news_due + LINE_MS / 1000.0:
-            self._first_line_s = min(2.0 * self._first_line_s, LONGEST_FIRST_LINE_S)
+        if not watch.is_answered and now > self._news_due:
+            self._first_line_s = LONGEST_FIRST_LINE_S
+        if watch.is_answered:
+            self._news_due = min(self._news_due, now - silent_s + NEWS_DUE_S)
+        due_ms = 1000.0 * self._due_in_s()
         if self._must_ask:
-            self._deliver(ListChanged(ListKind.FAILED, silent_ms=1000.0 * silent_s), {})
+            self._deliver(ListChanged(ListKind.FAILED, due_ms=due_ms), {})
             return
-        self._call_after(random.uniform(0.0, widest_pause_ms(1000.0 * (self._news_due - now)) / 1000.0))
+        self._call_after(random.uniform(0.0, widest_pause_ms(due_ms)) / 1000.0)
+
+    def _due_in_s(self) -> float:
+        """After a failure. What is overdue can't be told in time any more: what comes from now on can."""
+        now = self.loop.time()
+        if not now < self._news_due < math.inf:
+            self._news_due = now + NEWS_DUE_S
+        return min(self._news_due - now, NEWS_DUE_S - self._first_line_s)
+
+    def _is_told(self) -> None:
+        """Nothing is missed, unless the watch is one at the address from before a move."""
+        if self._watch is not None and self._watch.opened_at >= self._moved_at:
+            self._news_due = math.inf
 
     def heard_again(self, watch: WatchConnection) -> None:
         if watch is not self._watch:
             return
         log.info("discovery: heard again")
-        self._news_due = math.inf
+        self._is_told()
         if self._must_ask:
             self._deliver(ListChanged(ListKind.ALIVE), {})
         else:
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -156,12 +156,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ListChanged:
-    """`silent_ms`: of a failure, how long ago the watch that has fallen silent was last heard, in ms; else 0. Its host
-    keeps that watch until the next `Watch`, since it may be heard again."""
+    """`due_ms`: of a failure, the time until what is missed counts as told, as far as the host knows; the next call has
+    to be answered by then. A watch that has fallen silent is kept until the next `Watch`: it may be heard again."""
 
     kind: ListKind
     servers: tuple[Server, ...] = ()
-    silent_ms: float = 0.0
+    due_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,8 +208,8 @@
     MOOT = "moot"  # never sent
 
 
-NEWS_DUE_MS = 6_000.0  # of the terms: what a silent watch misses counts as told so long after it fell silent,
-LINE_MS = 2_000.0  # and that may have been anywhere between the last line and the next
+NEWS_DUE_MS = 6_000.0  # of the terms: a change counts as told so long after discovery had it and could be reached
+LINE_MS = 2_000.0  # a watch says something at least so often
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT})
 
 
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -64,13 +64,10 @@
 LINE_SHARE = 0.5  # of what is left until news is due is for discovery, which answers all balancers in turn
 
 
-def widest_pause_ms(left_ms: float) -> float:
-    """Before the next call for a list, where so much is left until news is due.
-
-    As wide as may be: all watches fall silent at one moment when discovery's machine does. Wide again the
-    longer news is overdue for certain.
-    """
-    return LINE_SHARE * max(left_ms, -left_ms - api.LINE_MS, 0.0)
+def widest_pause_ms(due_ms: float) -> float:
+    """Before the next call for a list, where so much is left until news is due: as wide as may be, since all watches
+    fall silent at one moment when discovery's machine does."""
+    return LINE_SHARE * max(due_ms, 0.0)
 
 
 class Average:
@@ -492,7 +489,6 @@
         self._yields = False  # another has taken this one's place
         self._watch_failures = 0  # in a row
         self._asked_at = -math.inf
-        self._news_due = math.inf  # when what was missed counts as told
         self._actions: list[api.Action] = []
 
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
@@ -613,15 +609,12 @@
             widest = self._settings.ask_within_ms * min(2.0 ** self._watch_failures / 8, 0.5)
             if self._hurries:
                 widest = min(widest, HURRY_MS * self._watch_failures)
-            if event.silent_ms:
-                self._news_due = min(self._news_due, now - event.silent_ms + api.NEWS_DUE_MS)
             # A call that waited long before it failed was itself a pause.
             least = max(HURRY_MS - (now - self._asked_at), 0.0)
-            widest = min(widest, max(widest_pause_ms(self._news_due - now), least))
+            widest = min(widest, max(widest_pause_ms(event.due_ms), least))
             self._watch_due = self._set_timer(None, self._random.uniform(0.0, widest))
         if failed:
             return
-        self._news_due = math.inf
         if event.kind is ListKind.ALIVE:
             self._watch_due = 0
             return
--- a/mastlift/lab/emulator/lists.py
+++ b/mastlift/lab/emulator/lists.py
@@ -87,7 +87,7 @@
         self.came = self.world.loop.now
         self.world.calls.append(self.came)
         self.silent = self.came < self.world.mute_until
-        if not self.silent:
+        if not self.silent and not self.world.is_down:
             self.world.line.append(self)
             self.world.serve()
 
@@ -167,6 +167,9 @@
         self.wires: list[Wire] = []
         self.busy = False
         self.is_down = False
+        self.down_answers = "refused"
+        self.reached_since = START_S  # discovery can be called since then
+        self.made: dict[str, float] = {}  # when discovery had the last change of each
         self.stalled_until = self.mute_until = 0.0
         self.addresses = range(proxies)
         self.proxies = [Proxy(self, number) for number in self.addresses]
@@ -194,14 +197,15 @@
 
     def go_silent_for(self, seconds: float) -> None:
         """Calls are taken, and get no answer."""
-        self.mute_until = self.loop.now + seconds
+        self.mute_until = self.reached_since = self.loop.now + seconds
 
     def stall(self, seconds: float) -> None:
         """Lines come so much later."""
         self.stalled_until = self.loop.now + seconds
 
-    def go_down(self, seconds: float) -> None:
-        self.is_down = True
+    def go_down(self, seconds: float, answers: str = "refused") -> None:
+        """Meanwhile calls are refused, reset, or answered 503 at once."""
+        self.is_down, self.down_answers = True, answers
         self.line.clear()
         for wire in self.wires:
             if not wire.silent and not wire.closed:
@@ -211,6 +215,7 @@
 
     def _return(self) -> None:
         self.is_down = False
+        self.reached_since = self.loop.now
         if not self.asked:  # what the agent gets at its return counts at once
             for proxy in self.proxies:
                 for name in self.changes:
@@ -219,6 +224,7 @@
     def change(self, name: str, phase: str = "terminating") -> None:
         entry = self.members[name] = {**self.members[name], "phase": phase}
         self.changes.append(name)
+        self.made[name] = self.loop.now
         for proxy in self.proxies:
             silent = proxy.silent_since
             if phase != "in_service" and silent is not None:
@@ -236,10 +242,17 @@
     # --- discovery's work ---
 
     def _connect(self, make: Callable[[], Any]) -> None:
-        if self.is_down:
+        if self.is_down and self.down_answers == "refused":
             raise ConnectionRefusedError("down")
         protocol = make()
         wire = Wire(self, protocol)
+        if self.is_down:
+            protocol.connection_made(wire)
+            if self.down_answers == "503":
+                wire.say(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+            else:
+                self.loop.call_later(0.001, protocol.connection_lost, None)
+            return
         self.wires.append(wire)
         protocol.connection_made(wire)
 
@@ -286,5 +299,8 @@
     def sent(self, proxy: Proxy, server: str) -> None:
         self.sends += 1
         at = proxy.told.get(server)
+        if at is None and self.members[server]["phase"] != "in_service" and not self.is_down:
+            # Whatever call failed: so long after discovery had it and could be reached.
+            at = max(self.made[server], self.reached_since) + NEWS_DUE_S
         if at is not None and self.loop.now > at + GRACE_S:
             self.late.append((proxy.number, server, self.loop.now - at))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -252,3 +252,36 @@
         write_list(tmp_path / "no" / "where", {"revision": 1})
 
     run(test)
+
+
+def test_after_a_move_news_is_due_by_the_signal_also_when_the_first_call_fails_and_the_old_watch_speaks() -> None:
+    """SIGHUP between failures: 4 s from the signal, whatever else a failed call would allow."""
+    async def test() -> None:
+        old, new = await FakeServer().start(), await FakeServer().start()
+        with Script().in_place() as script, mock.patch("cometdoor.discovery.MOVE_SPREAD_S", 0.01), mock.patch(
+                "cometdoor.discovery.MOVE_DUE_S", 3.5):
+            rig = await started(script, old, member("s1", "127.0.0.1:9"))
+            script.react = lambda event: []
+            call = await old.next()
+            call.open_stream()
+            call.send_list(43, True, member("s1", "127.0.0.1:9"))
+            await script.until(api.ListChanged)
+            rig.proxy.reconfigure(read_config(make_config("127.0.0.1:1", new.address, discovery_mode="subscribe"), {}))
+            call.send_list(44, False, member("s1", "127.0.0.1:9"))
+            await script.until(api.ListChanged)
+            moved = await new.next()
+            assert b"index=44" in moved.message.start
+            moved.reply(503)
+            failed = await script.until(api.ListChanged)
+            assert failed.kind is ListKind.FAILED
+            assert 0.0 < failed.due_ms <= 3_500.0
+            rig.proxy._discovery.watch()
+            again = await new.next()
+            again.open_stream()
+            again.send_list(45, False)
+            await script.until(api.ListChanged)
+            again.reset()
+            failed = await script.until(api.ListChanged)
+            assert failed.due_ms == pytest.approx(3_900.0)  # a new cycle: 6 s less the time to give a call up
+
+    run(test)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -92,6 +92,39 @@
     assert len(world.calls) <= 4 * 40
 
 
+@BOTH
+@pytest.mark.parametrize(("proxies", "all_call_s", "down_s", "answers"), [
+    (230, 3.7, 8.0, "refused"), (30, 0.5, 0.5, "reset"), (30, 0.5, 8.0, "503"), (30, 0.5, 8.0, "reset"),
+    (30, 3.0, 47.0, "refused"), (30, 3.0, 47.0, "503")])
+def test_discovery_comes_back_with_drains_at_once(proxies: int, all_call_s: float, down_s: float, answers: str,
+                                                  asked: bool) -> None:
+    """However long it was down, and whatever the calls came to meanwhile."""
+    world = watched(proxies, 30, asked, all_call_s=all_call_s if asked else 0.0)
+    world.go_down(down_s, answers)
+    world.run(down_s)
+    for name in ("s2", "s3", "s4"):
+        world.change(name)
+    world.run(12.0)
+    assert not world.late
+    assert all({"s2", "s3", "s4"} <= set(proxy.told) for proxy in world.proxies)
+
+
+@BOTH
+@pytest.mark.parametrize("mute_s", [3.0, 11.0, 40.0])
+def test_calls_are_taken_without_an_answer_and_then_served(mute_s: float, asked: bool) -> None:
+    """A machine that vanished: given-up calls count like refused ones."""
+    world = watched(30, 30, asked, all_call_s=0.6)
+    world.fall_silent()
+    world.go_silent_for(mute_s)
+    world.run(mute_s)
+    for proxy in world.proxies:
+        proxy.silent_since = world.loop.now  # what counts is from when discovery could be reached
+    world.change("s2")
+    world.run(12.0)
+    assert not world.late
+    assert all("s2" in proxy.told for proxy in world.proxies)
+
+
 @BOTH
 def test_a_late_line_costs_few_calls_and_a_watch_that_speaks_again_is_kept(asked: bool) -> None:
     world = watched(100, 30, asked)
