Replay the emulator's dying server by seed: its connections keep their order

At fault: Backend.die sorted a set by a number that each proxy counts for itself, so ties went by where objects lay in memory. Connections are kept in the order they were made.

--- a/mastlift/lab/emulator/backend.py
+++ b/mastlift/lab/emulator/backend.py
@@ -48,13 +48,13 @@
         self.clock: Clock = network.clock
         self.machine = Machine(self.clock, spec.machine)
         self.state = "up"
-        self.connections: set[Connection] = set()
+        self.connections: dict[Connection, None] = {}  # the oldest first, so that a seed replays
         self.ran = 0  # requests whose work was done
 
     def die(self) -> None:
         """The process ends: what is open is reset, what is new refused."""
         self.state = "dead"
-        open_, self.connections = sorted(self.connections, key=lambda one: one.number), set()
+        open_, self.connections = self.connections, {}
         self.machine = Machine(self.clock, self.spec.machine)
         for connection in open_:
             connection.job = None
@@ -73,7 +73,7 @@
         if self.state == "dead" or len(self.connections) >= self.spec.most:
             self.network.travel(self.zone, connection.zone, connection.broke)
             return
-        self.connections.add(connection)
+        self.connections[connection] = None
 
         def up() -> None:
             if connection in self.connections:
@@ -105,7 +105,7 @@
             self.network.travel(self.zone, connection.zone, lambda: connection.answered(outcome))
 
     def hang_up(self, connection: Connection) -> None:
-        self.connections.discard(connection)
+        self.connections.pop(connection, None)
         job, connection.job = connection.job, None
         if job is not None and (self.spec.cancel == "all" or (self.spec.cancel == "queued" and job.state == "waiting")):
             self.machine.call_off(job)
