Hold cold servers to their budget over all processes: no call saved up by each, no freedom without a rate

At fault, each convicted by tests/test_cold_fleet.py: Balancer._may_warm let each balancer save up a whole call besides its pace, so all spent one at the same moment (20 and 30 processes); it let everything through while no rate was known (fresh processes with no warm server, 5 to 30 processes); and the rate was kept for each weight of the subset, so a server that more balancers share after others left got as many times its part. Found by reading beside these: sends to a few warm servers, and a weight of the warm ones that was only renewed with the list, counted as what one server bears. Ruled out: copies and retries (they pass the same gate).

Now who earns less than a call in the longest time that counts draws for it; a new balancer learns from warm servers first, else goes by the tenants' allowances or its own arrivals; one call in all is free. The rate is kept for each list weight, and only while at least half of the servers are warm.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -23,6 +23,7 @@
 BACKUP_DELAY = 0.625  # of the time to a timely answer: most answers are in by then, the copy has the rest
 # Where no budget is stated: retries and copies multiply through tiers, yet chance losses need some.
 OWN_BUDGET = api.AttemptBudget(floor=3.0, per_request=0.2, span_ms=10_000.0)
+MIN_ARRIVALS_MS = 1_000.0  # arrivals of less time tell no pace
 EDGE_MS = 0.002  # a host may count in whole microseconds: what is so near a window's edge is taken amiss
 MEMORY_MS = 10_000.0  # what was seen of a server fades with this time constant, as the gate's window
 KIND_SAMPLES = 3.0  # a server is taken to be like its kind until so many answers of its own are in
@@ -48,6 +49,7 @@
 TAKEN_MS = 2_000.0  # servers choke within seconds: what answers take is judged over no longer time
 HOLD_SHARE = 0.25  # of its aim that a request may wait at the entry for room
 COLD_MARGIN = 0.5  # of the stated overload that all balancers together may put on a cold server
+WARM_SHARE = 0.5  # of all servers that has to be warm for what they bear to count: at 1.6 times its part, and a margin
 COLD_LEAD = 1.8  # a cold server is weighed by so many times the least that it may bear by then
 SAME_MS = 50.0  # patience that differs by less is the same: what is left varies with the way here
 LOCAL_POWER = 3.0  # answers of the own zone half again as slow as others take most of that away
@@ -410,6 +412,11 @@
         if sent_at in self._extra:
             self._extra.remove(sent_at)
 
+    def arrivals(self, now: float) -> float:
+        """Requests in a ms, lately."""
+        self._expire(now)
+        return len(self._taken) / max(now - self._taken[0], MIN_ARRIVALS_MS) if self._taken else 0.0
+
     def _expire(self, now: float) -> None:
         oldest = now - self.limits.span_ms
         while self._taken and self._taken[0] <= oldest + EDGE_MS:
@@ -474,9 +481,11 @@
         self._budget = AttemptBudget(settings.attempt_budget or OWN_BUDGET)
         self._rotated: list[Member] = []  # the ready servers of this balancer's subset
         self._fair_preference = LOCAL_PREFERENCE
-        self._warm_weight = 1.0  # of the servers in the rotation that are warm
+        self._covered = 1.0  # of the servers' list weights, by this balancer's subset
+        self._warm_weight = 0.0  # of the servers in the rotation that are warm
+        self._warm_until = -math.inf  # by then one more of them is
         self._warm_sends = Average()
-        self._warm_rate = 0.0  # sends in a ms and for each weight to warm servers, when there last were any
+        self._borne_rate = 0.0  # sends in a ms for each list weight, when most servers were last warm
         self._outstanding = 0
         self._shares = {name: Share(tenant, settings.balancers)
                         for name, tenant in zip(names(settings.tenants), settings.tenants, strict=True)}
@@ -556,7 +565,7 @@
                         for name, m in self._members.items()},
             "averages": [average.learned() for average in self._averages()],
             "kinds": [[kind, average.learned()] for kind, average in self._kind_slowness.items()],
-            "warm_rate": self._warm_rate,
+            "borne_rate": self._borne_rate,
             "seconds": [list(row) for row in gate._seconds], "lifetime": list(gate._lifetime),
             "taken": list(budget._taken), "extra": list(budget._extra),
             "shares": {name: [share.left, share.at] for name, share in self._shares.items()},
@@ -585,7 +594,7 @@
             average.take_over(told)
         for kind, told in learned["kinds"]:
             self._kind_slowness.setdefault(int(kind), Average()).take_over(told)
-        self._warm_rate = float(learned["warm_rate"])
+        self._borne_rate = float(learned["borne_rate"])
         self._gate._seconds = deque([float(at), int(b), int(legs)] for at, b, legs in learned["seconds"])
         self._gate._lifetime = [int(count) for count in learned["lifetime"]]
         self._budget._taken = deque(map(float, learned["taken"]))
@@ -668,7 +677,8 @@
                 # A random phase: else all balancers would hit a new server at the same moment.
                 self._schedule(
                     member, self._virtual_now + self._random.random() / self._weight(member, now))
-        self._warm_weight = sum(m.weight for m in ready if self._warmth(m, now) >= 1.0) or 1.0
+        self._covered = sum(m.weight for m in ready) / sum(m.part() for m in ready) if ready else 1.0
+        self._weigh_warm(now)
         self._admission.floor = max(1.0, FLOOR * len(ready) / settings.balancers)
 
     def _limit_preference(self, ready: list[Member], zones: int) -> None:
@@ -746,31 +756,58 @@
         """Rule 4: a cold server gets its part of what a warm one bore, not more when the others are gone.
 
         Weights hold it down only against its peers: alone in its group or after most of the fleet restarted
-        it would take all, copies and retries too, and fall over. Unknown at the start, when none is warm.
+        it would take all, copies and retries too, and fall over. It falls under the sum of what all balancers
+        send: a call that each had saved up would be one for each at one moment. Who earns less than a call in
+        the longest time that counts saves nothing and draws for it: the sum keeps to its mean.
         """
         warmth = self._warmth(member, now)
         if warmth >= 1.0:
             return True
         if self._yields and any(self._warmth(other, now) >= 1.0 for other in self._rotated):
             return False  # all that a cold server may get is the other's to send
-        if not self._warm_rate:
-            return True
-        rate = self._warm_rate * member.weight * warmth * self._settings.overload_factor * COLD_MARGIN
+        rate = self._borne(now) * member.weight * warmth * self._settings.overload_factor * COLD_MARGIN
+        longest_ms = self._settings.fall_ms * COLD_MARGIN
+        most = rate * longest_ms
         if member.allowed_at < 0.0:
-            # A random part of one call: else all balancers together would send theirs at once.
-            member.allowed, member.allowed_at = self._random.random(), now
-        member.allowed = min(member.allowed + rate * (now - member.allowed_at),
-                             1.0 + rate * self._settings.fall_ms * COLD_MARGIN)
+            # One call for all balancers together, so that a lone one is heard before it knows any rate.
+            member.allowed = float(self._random.random() * self._settings.balancers < 1.0)
+        earned = rate * min(now - max(member.allowed_at, member.entry.started_at), longest_ms)
+        if most < 1.0:
+            earned = float(self._random.random() < earned)
+        member.allowed = min(member.allowed + earned, max(most, 1.0))
         member.allowed_at = now
         return member.allowed >= 1.0
 
+    def _borne(self, now: float) -> float:
+        """Sends in a ms that a warm server bears from this balancer, for each weight of the subset.
+
+        How many balancers share a server differs with the list: what all bear together is what goes over.
+        """
+        if self._borne_rate:
+            return self._borne_rate / self._covered
+        if self._warm_weight > 0.0:
+            return 0.0  # the first few calls to warm servers will tell
+        # A new balancer that knows no warm server: its even part of what all tenants may send, else what it gets.
+        weight = sum(member.weight for member in self._rotated)
+        allowance = sum(tenant.allowance_per_s for tenant in self._settings.tenants) / 1000.0
+        return (allowance / self._settings.balancers or self._budget.arrivals(now)) / weight
+
+    def _weigh_warm(self, now: float) -> None:
+        cold = [member for member in self._rotated if self._warmth(member, now) < 1.0]
+        self._warm_weight = sum(member.weight for member in self._rotated) - sum(member.weight for member in cold)
+        self._warm_until = min((m.entry.started_at for m in cold), default=math.inf) + self._settings.warm_up_ms
+
     def _count_send(self, member: Member, now: float) -> None:
         if self._warmth(member, now) < 1.0:
             member.allowed -= 1.0
             return
-        self._warm_sends.add(1.0 / self._warm_weight, now)
+        if now >= self._warm_until:
+            self._weigh_warm(now)
+        if self._warm_weight <= WARM_SHARE * sum(other.weight for other in self._rotated):
+            return  # the few that are warm bear for the others: it says nothing of what one can bear
+        self._warm_sends.add(self._covered / self._warm_weight, now)
         if self._warm_sends.count >= KIND_SAMPLES:
-            self._warm_rate = self._warm_sends.total / MEMORY_MS
+            self._borne_rate = self._warm_sends.total / MEMORY_MS
 
     def _is_crowded(self, member: Member, now: float) -> bool:
         """Whether it holds more of this balancer's calls than its part, by more than chance.
