Give no client an answer that was made for another request or for none

At fault: Pool.send took the connection that had answered last, also in the same millisecond, and wrote whatever lay unread on it; Connection took a 200 for the request's own before its last byte had been written, or even its first.

Now a connection rests 25 ms before it is used again, another or a new one is used meanwhile; one on which bytes, an end or a reset lie unread is closed instead (poll, one call a send); a 200 before the last byte counts as never run: a server begins with the last byte. An end that lies unread costs no attempt any more either.

Two tests of reuse set the rest to 0: what they check (which connection, and nothing sent again) is as before.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -27,8 +27,8 @@
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 # Whatever fails, a change is in use 6 s after discovery had it and could be reached, and sends end 250 ms later. All
-# proxies have to be served in that time by a discovery that answers in turn: of what is left after a failure half is for
-# the pause, drawn by each, and half for discovery's line. The longest ways, each from its worst moment:
+# proxies have to be served in that time by a discovery that answers in turn: of what is left after a failure half is
+# for the pause, drawn by each, and half for discovery's line. The longest ways, each from its worst moment:
 #   a watch falls silent        2.25 s to notice + 1.875 s pause + 1.875 s line = 6.0 s
 #   and its new call is silent  2.25 s + 1.875 s + 2.1 s to give the call up = 6.225 s, and a new cycle begins
 #   discovery returns while a call waits in vain  2.1 s to its end + 1.95 s pause + 1.95 s line = 6.0 s
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,6 +22,9 @@
 
 MAX_HEAD = 64 * 1024
 MAX_FRAMING = 8  # bytes on the wire for each of the body's, where it comes in small chunks
+# A second answer may come some ms after the first: on a connection that is used again at once it would be taken for the
+# next request's. So long a connection rests; what comes meanwhile, or lies there unread, ends it.
+REST_S = 0.025
 NEVER_RAN_STATUS = (503, 504)
 
 
@@ -129,6 +133,7 @@
         self._held_back = False  # the sink takes no more for now
         self._whole = False  # all of an answer that went to the sink is in
         self._moved_at = 0.0  # when a body last moved on
+        self.idle_since = 0.0
         self._watch: asyncio.TimerHandle | None = None
 
     # --- opening ---
@@ -153,9 +158,18 @@
         self._transport.set_write_buffer_limits(high=0)
         if self.closed or self.exchange is None:
             self._transport.abort()
+        elif self.has_unread():
+            self._finish(Outcome.CONNECT_FAILED)  # an answer to nothing: what it would say to a request is not known
         else:
             self._write()
 
+    def has_unread(self) -> bool:
+        """Bytes, an end or a reset have come that were not read: nothing is to be written to it any more."""
+        assert self._transport is not None
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _not_connected(self) -> None:
         if self._transport is None:
             self._finish(Outcome.CONNECT_FAILED)
@@ -240,7 +254,7 @@
         if self._whole:
             self._finish(Outcome.OK)
         elif self._answer is not None:
-            self._finish(outcome_of(self._answer), self._answer)
+            self._end_with(self._answer)
         elif self._received > MAX_HEAD + (0 if self._in_head else MAX_FRAMING * max(self._size, WHOLE)):
             self._unreadable()
 
@@ -294,6 +308,9 @@
             self._answer = Answer(status, self._headers, b"")
             self._finish(outcome_of(self._answer), self._answer)
             return
+        if not self.is_written():
+            self._unreadable()
+            return
         sink = exchange.begun(self._headers, self._length, self)
         if self.exchange is not exchange:
             return  # ended on the way
@@ -318,14 +335,21 @@
         else:
             self._answer = Answer(status, self._headers, b"".join(self._body))
 
+    def _end_with(self, answer: Answer) -> None:
+        outcome = outcome_of(answer)
+        if outcome is Outcome.OK and not self.is_written():
+            # A server begins once it has the last byte: this was made for no request, or for another one.
+            self._unreadable()
+        else:
+            self._finish(outcome, answer)
+
     def eof_received(self) -> None:
         if self.exchange is not None and self._until_close and not self._in_head:
             self._reusable = False
             if self._sink is not None:
                 self._finish(Outcome.OK)
             else:
-                answer = Answer(self._parser.get_status_code(), self._headers, b"".join(self._body))
-                self._finish(outcome_of(answer), answer)
+                self._end_with(Answer(self._parser.get_status_code(), self._headers, b"".join(self._body)))
         else:
             self._broken()
 
@@ -440,8 +464,13 @@
 
     def send(self, server: str, address: Address, exchange: Exchange) -> bool:
         """False: no connection may be opened, and no byte will be written."""
-        if idle := self._idle.get(server):
-            connection = idle[-1]
+        rested = self.loop.time() - REST_S
+        for connection in self._idle.get(server, [])[::-1]:
+            if connection.idle_since > rested:
+                continue
+            if connection.has_unread():
+                connection.abort()
+                continue
             self._take_out(connection)
             connection.start(exchange)
             return True
@@ -454,6 +483,7 @@
         return True
 
     def keep(self, connection: Connection) -> None:
+        connection.idle_since = self.loop.time()
         self._idle.setdefault(connection.server, []).append(connection)
         self._by_age[connection] = None
         connection.idle_timer = self.loop.call_later(self._keep_s, connection.abort)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -175,6 +175,7 @@
     run(test)
 
 
+@mock.patch("cometdoor.upstream.REST_S", 0.0)
 def test_a_stale_connection_that_breaks_is_an_outcome_and_nothing_is_sent_again() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
@@ -196,6 +197,7 @@
     run(test)
 
 
+@mock.patch("cometdoor.upstream.REST_S", 0.0)
 def test_the_most_recently_used_connection_is_taken() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
