Turn down settings that are no use by the key at fault, also numbers below 0 and unknown effects

At fault: config.check looked at three numbers only. A negative idle_close_ms, fall_ms in a text, a position of true or a window below 0 went through to where they were used, or ended in "'>=' not supported between ..." without a name; an unknown effect was named by its value ("'brittle' is missing or has an unknown value").

Now each number that the program goes by has its bounds in one table; flags, scopes, effects, names and lists are checked beside it; the message names the path. Missing optional keys stay allowed.

--- a/cometdoor/config.py
+++ b/cometdoor/config.py
@@ -9,7 +9,7 @@
 import math
 import os
 import socket
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
@@ -17,7 +17,7 @@
 import orjson
 
 from jasperhall import api
-from jasperhall.simhost import part, read_settings
+from jasperhall.simhost import EFFECTS, SCOPES, part, read_settings
 
 Address = tuple[str, int]
 
@@ -31,6 +31,7 @@
 }
 NEEDED_OF_CLASS = ("name", "aim_ms", "deadline_ms", "effect", "worth", "late_worth")
 NEEDED_OF_KEYED = ("dedup_scope", "key_ttl_ms")
+DISCOVERY = ("automatic", "subscribe")
 MAY_GO_MISSING = frozenset({"aim_stretch", "passes_deadline", "warm_keys"})  # by the wire's page
 
 
@@ -83,37 +84,108 @@
     return b"GET" if cls.effect is api.Effect.SAFE else b"POST"
 
 
-def above_zero(owner: dict[str, Any], name: str, where: str) -> None:
-    value = owner[name]
-    is_number = isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
-    if not is_number or value <= 0:
-        raise ValueError(f"{where}{name}: {value!r} is no number above 0")
+@dataclass(frozen=True, slots=True)
+class Number:
+    """What a number may be; `None` where a key may be left out or null."""
+
+    least: float
+    above: bool = False  # more than the least
+    most: float = math.inf
+    whole: bool = False
+
+    def problem(self, value: Any) -> str:
+        if not isinstance(value, int | float) or isinstance(value, bool) or not math.isfinite(value):
+            return "is no number"
+        if value < self.least or (self.above and value == self.least):
+            return f"is not above {self.least:g}" if self.above else f"is below {self.least:g}"
+        if value > self.most:
+            return f"is over {self.most:g}"
+        return "is no whole number" if self.whole and value != int(value) else ""
+
+
+ABOVE_0, NOT_BELOW_0 = Number(0.0, above=True), Number(0.0)
+COUNT, PLACE = Number(1.0, whole=True), Number(0.0, whole=True)
+# By path; what stands here and not in NEEDED may be missing or null.
+NUMBERS: dict[str, dict[str, Number]] = {
+    "limits": {"sockets": COUNT, "memory_mb": ABOVE_0, "cores": ABOVE_0},
+    "settings": {"group_size": COUNT, "position": PLACE, "stage": PLACE, "zone": PLACE,
+                 "over_share_worth": NOT_BELOW_0},
+    "settings.limits": {"try_limit": COUNT, "max_open": NOT_BELOW_0, "idle_close_ms": ABOVE_0,
+                        "connect_timeout_ms": ABOVE_0, "max_retry_after_ms": NOT_BELOW_0},
+    "settings.obligations": {"ask_within_ms": ABOVE_0, "cold_from": Number(0.0, above=True, most=1.0),
+                             "fall_ms": ABOVE_0, "overload_factor": ABOVE_0, "ramp_time_ms": NOT_BELOW_0,
+                             "stop_sending_within_ms": NOT_BELOW_0, "extra_floor": NOT_BELOW_0,
+                             "extra_per_request": NOT_BELOW_0, "ratio_span_ms": ABOVE_0},
+    "settings.fees": {"cross_zone": NOT_BELOW_0},
+}
+NUMBERS_OF_CLASS = {"aim_ms": ABOVE_0, "deadline_ms": ABOVE_0, "worth": NOT_BELOW_0, "late_worth": NOT_BELOW_0,
+                    "key_ttl_ms": NOT_BELOW_0}
+FLAGS = {"settings.limits": ("cancel", "may_duplicate", "retry_after"), "settings.client_habits": ("marks_retry",)}
+
+
+def check_numbers(owner: dict[str, Any], numbers: Mapping[str, Number], where: str) -> None:
+    for name, number in numbers.items():
+        value = owner.get(name)
+        if value is not None and (problem := number.problem(value)):
+            raise ValueError(f"{where}.{name}: {value!r} {problem}")
+
+
+def check_keys(owner: Any, needed: Iterable[str], where: str) -> None:
+    if not isinstance(owner, dict):
+        raise ValueError(f"{where or 'the file'}: {type(owner).__name__} in place of an object")
+    for name in needed:
+        if owner.get(name) is None:
+            raise ValueError(f"{where}.{name} is missing".lstrip("."))
+
+
+def check_class(lane: Any, place: int, names: set[str]) -> None:
+    check_keys(lane, NEEDED_OF_CLASS, f"settings.lanes[{place}]")
+    name = lane["name"]
+    if not isinstance(name, str) or not name or name in names:
+        raise ValueError(f"settings.lanes[{place}].name: {name!r} is no name of its own")
+    names.add(name)
+    where = f"settings.lanes[{place}] ({name})"
+    for key, known in (("effect", EFFECTS), ("dedup_scope", SCOPES)):
+        value = lane.get(key)
+        if value is not None and not (isinstance(value, str) and value in known):
+            raise ValueError(f"{where}.{key}: {value!r} is none of {', '.join(known)}")
+    check_keys(lane, NEEDED_OF_KEYED if lane["effect"] == "dedup" else (), where)
+    check_numbers(lane, NUMBERS_OF_CLASS, where)
 
 
 def check(raw: dict[str, Any]) -> None:
-    """Raises KeyError, ValueError, TypeError or AttributeError: what a file may not be."""
-    for path, needed in NEEDED.items():
-        owner = raw
-        for step in filter(None, path.split(".")):
-            owner = owner[step]
-        for name in needed:
-            if owner[name] is None:
-                raise KeyError(name)
+    """Raises ValueError, naming the key: what a file may not be."""
+    owners: dict[str, Any] = {"": raw}
+    for path in dict.fromkeys((*NEEDED, *NUMBERS, *FLAGS)):
+        above, _, name = path.rpartition(".")
+        if path:
+            owner = owners[above].get(name)
+            if owner is None and path not in NEEDED:
+                owner = {}
+            owners[path] = owner
+        check_keys(owners[path], NEEDED.get(path, ()), path)
+        check_numbers(owners[path], NUMBERS.get(path, {}), path)
+        for flag in FLAGS.get(path, ()):
+            if not isinstance(part(owners[path], flag, False), bool):
+                raise ValueError(f"{path}.{flag}: {owners[path][flag]!r} is neither true nor false")
     settings = raw["settings"]
-    above_zero(settings["limits"], "try_limit", "limits.")
-    if settings["limits"]["try_limit"] != int(settings["limits"]["try_limit"]):
-        raise ValueError("limits.try_limit: attempts are counted whole")
-    seen = set()
-    for lane in settings["lanes"]:
-        name = lane["name"]
-        if not isinstance(name, str) or not name or name in seen:
-            raise ValueError(f"lanes: {name!r} is no name of its own")
-        seen.add(name)
-        for key in NEEDED_OF_CLASS + (NEEDED_OF_KEYED if lane["effect"] == "dedup" else ()):
-            if lane[key] is None:
-                raise KeyError(key)
-        above_zero(lane, "aim_ms", f"class {name}: ")
-        above_zero(lane, "deadline_ms", f"class {name}: ")
+    lanes, names = settings["lanes"], set[str]()
+    if not isinstance(lanes, list) or not lanes:
+        raise ValueError("settings.lanes: no list of at least one class")
+    for place, lane in enumerate(lanes):
+        check_class(lane, place, names)
+    tenants = part(settings, "tenants", [])
+    for place, tenant in enumerate(tenants):
+        check_keys(tenant, ("allowance_per_s",), f"settings.tenants[{place}]")
+        check_numbers(tenant, {"allowance_per_s": NOT_BELOW_0}, f"settings.tenants[{place}]")
+    for name, least in (("zones", 0), ("tiers", 1)):
+        if not isinstance(settings[name], list) or len(settings[name]) < least:
+            raise ValueError(f"settings.{name}: no list of names")
+    for name, count in (("position", settings["group_size"]), ("stage", len(settings["tiers"]))):
+        if settings[name] >= count:
+            raise ValueError(f"settings.{name}: {settings[name]!r} is not below {count}")
+    if settings["discovery"] not in DISCOVERY:
+        raise ValueError(f"settings.discovery: {settings['discovery']!r} is none of {', '.join(DISCOVERY)}")
 
 
 def missing_keys(now: Any, new: Any, path: str = "") -> Iterator[str]:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -199,6 +199,11 @@
             lines.append(f"Content-Length: {len(body)}")
         self.writer.write("\r\n".join([*lines, "", ""]).encode() + body)
 
+    def ask_of(self, name: str, method: str = "GET") -> None:
+        """Of a class by any name."""
+        self.writer.write(f"{method} /{name}/1 HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Qos: {name}\r\nX-Expires-In: 5\r\n"
+                          f"Idempotency-Key: 5c0f\r\nContent-Length: 0\r\n\r\n".encode())
+
     async def answer(self) -> Message:
         return await Message.read(self.reader)
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -77,7 +77,7 @@
     async def test() -> None:
         with socket.create_server(("127.0.0.1", 0)) as listener, Script().in_place() as script:
             script.react = first_to("s1")
-            rig = await Rig().start(member("s1", "127.0.0.1:%d" % listener.getsockname()[1]))
+            rig = await Rig().start(member("s1", f"127.0.0.1:{listener.getsockname()[1]}"))
             made = Connection.connection_made
             peers: list[socket.socket] = []
 
