End resting connections, the listener and the process without a reset over what is owed

At fault: Frontend.close_idle and the time-out of silent callers closed a resting connection; bytes that crossed reset it, the last answer with it. stop_listening reset whoever the system had accepted and the loop had not. leave() ended new connections that had yet to ask, and ended the process 1.5 s after the last answer though a request's body was coming in. SIGHUP before the loop ran ended the process.

Now a resting connection ends its sending, reads on and drops for at most 1 s, then closes; the backlog is taken before the listener closes; new connections have 0.6 s for their first request at the end too; a request on its way in is waited for until the last word; an early SIGHUP is carried out once the proxy runs. Cleared by their tests: an attempt, a retry, a backup, a slowly read answer at SIGTERM, SIGTERM twice with SIGHUP between.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -28,7 +28,7 @@
 SERVE_ON_S = 0.45
 LISTEN_ON_S = 0.6
 LOOK_EVERY_S = 0.02
-FIRST_REQUEST_S = 0.6  # clients that come while they are sent away have so long for their first request
+FIRST_REQUEST_S = 0.6  # clients that come while they are sent away, or at the end, have so long for their first request
 # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
 LONGEST_WAIT_S, KILL_AFTER_S = 3.0, 0.7
 BEFORE_KILL_S = 0.15  # so much sooner is what is still out failed
@@ -128,7 +128,19 @@
         return max(half, descriptors.used)
 
 
-async def serve(config: NodeConfig, listener: socket.socket | None, stopping: asyncio.Event) -> None:
+class EarlyReload:
+    """SIGHUP before the proxy runs: it would end the process, or be lost."""
+
+    def __init__(self) -> None:
+        self.is_due = False
+        signal.signal(signal.SIGHUP, lambda *_: self.note())
+
+    def note(self) -> None:
+        self.is_due = True
+
+
+async def serve(config: NodeConfig, listener: socket.socket | None, stopping: asyncio.Event,
+                early: EarlyReload) -> None:
     loop = asyncio.get_running_loop()
     life = LifeCycle()
     door = Door(loop, operators_calls(life))
@@ -161,6 +173,8 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     log.info("%s serves on %s:%d", config.name, *front.address())
+    if early.is_due:
+        reload()
     await stopping.wait()
     if handover is not None:
         handover.look()  # SIGTERM may come right behind the other's yes
@@ -177,39 +191,40 @@
     loop = asyncio.get_running_loop()
     longest_s = max(cls.deadline_ms for cls in config.settings.classes) / 1000.0
     last_word_at = loop.time() + min(longest_s, LONGEST_WAIT_S) + KILL_AFTER_S - BEFORE_KILL_S
-    patience_s = 0.0
     if life.is_succeeded():
         # The other process takes who comes. Who came here and has yet to ask is heard.
         front.stop_listening()
         front.closing = True
-        patience_s = FIRST_REQUEST_S
     else:
         await asyncio.sleep(SERVE_ON_S)
         front.closing = True
-        front.close_idle()
+        front.close_idle(FIRST_REQUEST_S)
         await asyncio.sleep(LISTEN_ON_S - SERVE_ON_S)
+        await front.empty_backlog(FIRST_REQUEST_S)
         front.stop_listening()
-    # A caller that stopped in the middle of a request is owed nothing, and must not keep the program.
+    # A caller that stopped in the middle of a request is owed nothing, and keeps the program no longer than others.
     flushed_by = loop.time() + FLUSH_S
     while proxy.owes_answers() or (front.connections and loop.time() < flushed_by):
-        if proxy.owes_answers():
+        is_over = loop.time() >= last_word_at
+        if proxy.owes_answers() or (front.is_receiving() and not is_over):
             flushed_by = loop.time() + FLUSH_S
-            if loop.time() >= last_word_at:
-                proxy.fail_all()
-        front.close_idle(patience_s)
+        if is_over:
+            proxy.fail_all()
+        front.close_idle(FIRST_REQUEST_S)
         await asyncio.sleep(LOOK_EVERY_S)
 
 
-async def run(config: NodeConfig, listener: socket.socket | None) -> None:
+async def run(config: NodeConfig, listener: socket.socket | None, early: EarlyReload) -> None:
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopping.set)
-    await serve(config, listener, stopping)
+    await serve(config, listener, stopping, early)
 
 
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    early = EarlyReload()
     try:
         config = load_config()
         listener = inherited_listener()
@@ -217,7 +232,7 @@
         print(f"cometdoor: bad configuration: {problem}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(run(config, listener))
+        uvloop.run(run(config, listener, early))
     except OSError as problem:
         print(f"cometdoor: {problem}", file=sys.stderr)
         return 1
--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -270,7 +270,7 @@
             self._bad_input(BadRequest(408, "the request did not come in time"))
             self._next()
         elif self.is_idle():
-            self.close()
+            self.shut_down()
         elif not self._is_over():
             # Bytes have come to the machine, not yet to us: perhaps the request.
             self._read_timer = self._front.loop.call_later(LOOK_AGAIN_S, self._look_at_pace)
@@ -675,10 +675,19 @@
             return False
         return not self._poll(select.POLLIN)
 
+    def is_receiving(self) -> bool:
+        return self._in_request and not self._is_over()
+
     def is_stuck(self, since: float) -> bool:
         """Half a head has come, and no byte more for long."""
         return self._in_head and self._heard_at <= since and self.request is None and not self._ahead
 
+    def shut_down(self) -> None:
+        """Of one at rest. What its caller sends just now is read and dropped, not sent on: the caller sees the end and
+        asks again elsewhere. Closed over those bytes, it would be reset, and its last answer might go with it.
+        """
+        self._end(LINGER_S)
+
     def close(self) -> None:
         if self._transport is not None:
             self._transport.close()
@@ -714,6 +723,19 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
 
+    async def empty_backlog(self, longest_s: float) -> None:
+        """The system has accepted who waits here, and they may have sent: closed, the listener would reset them all."""
+        until = self.loop.time() + longest_s
+        poll = select.poll()
+        for listener in self._server.sockets if self._server is not None else ():
+            poll.register(listener.fileno(), select.POLLIN)
+        while poll.poll(0) and self.loop.time() < until:
+            await asyncio.sleep(0)
+
+    def is_receiving(self) -> bool:
+        """A request is on its way in."""
+        return any(connection.is_receiving() for connection in self.connections)
+
     def stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
@@ -724,7 +746,7 @@
         until = self.loop.time() - patience_s
         for connection in list(self.connections):
             if not (connection.is_new and connection.rests_since > until) and connection.is_idle():
-                connection.close()
+                connection.shut_down()
 
     def opened(self, connection: ClientConnection) -> None:
         """Guards against running out of descriptors: callers that are owed nothing go first.
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,232 @@
+"""Shutdown against bytes: nothing that is owed goes with a connection, a listener or the process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from unittest import mock
+
+import pytest
+
+from cometdoor import __main__ as program
+from cometdoor.frontend import ClientConnection
+from tests.rig import Caller, FakeServer, Rig, Script, first_to, make_config, member, run
+from tests.test_frontend import GOOD, head
+from tests.test_process import free_port, launch, until_serving
+
+REQUEST = head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: 9")
+
+
+@contextmanager
+def short_times(flush_s: float = 0.05) -> Iterator[None]:
+    with ExitStack() as stack:
+        for name, value in (("SERVE_ON_S", 0.01), ("LISTEN_ON_S", 0.02), ("FLUSH_S", flush_s)):
+            stack.enter_context(mock.patch.object(program, name, value))
+        yield
+
+
+async def raw_client(rig: Rig) -> socket.socket:
+    """Answered once, and at rest since; its answer still lies unread at the client."""
+    client = socket.create_connection(rig.front.address())
+    client.sendall(head("GET /up HTTP/1.1", "Host: x"))
+    while not rig.front.connections or next(reversed(rig.front.connections)).is_new:
+        await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    client.setblocking(False)
+    return client
+
+
+async def rest_of(client: socket.socket) -> bytes:
+    data = b""
+    while part := await asyncio.get_running_loop().sock_recv(client, 65536):
+        data += part
+    return data
+
+
+@pytest.mark.parametrize("crossing", [REQUEST, REQUEST[:20], REQUEST * 30])
+@pytest.mark.parametrize("rested", [True, False])
+def test_bytes_that_cross_the_end_of_a_resting_connection_reset_nothing(crossing: bytes, rested: bool) -> None:
+    """SIGTERM, evacuation, handover and the time-out of a silent one end it the same way."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            if rested:
+                client = await raw_client(rig)
+            else:
+                client = socket.create_connection(rig.front.address())
+                client.setblocking(False)
+            while not rig.front.connections:
+                await asyncio.sleep(0)
+            is_idle = ClientConnection.is_idle
+
+            def then_it_sends(connection: ClientConnection) -> bool:
+                idle = is_idle(connection)
+                os.write(client.fileno(), crossing)
+                return idle
+            with mock.patch.object(ClientConnection, "is_idle", then_it_sends):
+                rig.front.close_idle()
+            answer = await rest_of(client)  # ConnectionResetError where it was closed over them
+            assert answer.startswith(b"HTTP/1.1 200") if rested else answer == b""
+            client.close()
+            assert backend.calls.empty()
+            assert not script.events[1:]  # nothing arrived but the list
+            while rig.front.connections:
+                await asyncio.sleep(0)
+            assert rig.descriptors.used == 0
+
+    run(test)
+
+
+def test_who_waits_to_be_accepted_when_the_listener_closes_is_served() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        rig = await Rig().start(member("s1", backend.address))
+        clients = [socket.create_connection(rig.front.address()) for _ in range(20)]  # no turn of the loop between
+        for client in clients:
+            client.sendall(head("GET /up HTTP/1.1", "Host: x", "Connection: close"))
+            client.setblocking(False)
+        await rig.front.empty_backlog(5.0)
+        rig.front.stop_listening()
+        for client in clients:
+            assert (await rest_of(client)).startswith(b"HTTP/1.1 200")
+            client.close()
+
+    run(test)
+
+
+def test_a_request_whose_body_is_coming_at_sigterm_is_answered_before_the_end() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        rig = await Rig().start(member("s1", backend.address))
+        caller = await rig.caller()
+        caller.writer.write(head("POST /pay/1 HTTP/1.1", "X-Trace-Id: 1", "X-Qos: pay", "X-Expires-In: 9",
+                                 "Content-Length: 10") + b"half ")
+        while not rig.front.is_receiving():
+            await asyncio.sleep(0)
+        with short_times():
+            leaving = asyncio.ensure_future(program.leave(rig.config, rig.proxy, rig.front, rig.life))
+            await asyncio.sleep(0.3)  # many times what a caller that owes nothing may take
+            assert not leaving.done()
+            caller.writer.write(b"whole")
+            call = await backend.next()
+            assert call.message.body == b"half whole"
+            call.reply(200, b"x")
+            answer = await caller.answer()
+            assert (answer.status, answer.headers["connection"]) == (200, "close")
+            caller.writer.close()
+            await leaving
+
+    run(test)
+
+
+def test_one_that_stops_in_its_request_keeps_the_program_no_longer_than_its_last_word() -> None:
+    async def test() -> None:
+        rig = await Rig().start()
+        caller = await rig.caller()
+        caller.writer.write(REQUEST[:20])
+        while not rig.front.is_receiving():
+            await asyncio.sleep(0)
+        with short_times(), mock.patch.object(program, "LONGEST_WAIT_S", 0.1), mock.patch.object(
+                program, "KILL_AFTER_S", 0.2):
+            await program.leave(rig.config, rig.proxy, rig.front, rig.life)
+
+    run(test)
+
+
+def test_one_that_has_just_connected_at_the_end_is_heard() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        rig = await Rig().start(member("s1", backend.address))
+        with short_times(flush_s=5.0):
+            caller = await rig.caller()
+            while not rig.front.connections:
+                await asyncio.sleep(0)
+            leaving = asyncio.ensure_future(program.leave(rig.config, rig.proxy, rig.front, rig.life))
+            while rig.front._server is not None:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.05)  # it is looked at more than once
+            caller.ask()
+            (await backend.next()).reply(200, b"x")
+            assert (await caller.answer()).status == 200
+            caller.writer.close()
+            await leaving
+
+    run(test)
+
+
+@pytest.mark.parametrize("state", ["an attempt is out", "a retry is pending", "a backup is out",
+                                   "its answer is read slowly"])
+def test_what_was_taken_before_sigterm_is_answered_whole(state: str) -> None:
+    async def test() -> None:
+        backends = [await FakeServer().start() for _ in range(3)]
+        rig = await Rig().start(*(member(f"s{i}", backend.address) for i, backend in enumerate(backends)))
+
+        async def first_call() -> object:
+            tasks = [asyncio.ensure_future(backend.next()) for backend in backends]
+            done, rest = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in rest:
+                task.cancel()
+            return done.pop().result()
+        caller = await rig.caller()
+        caller.ask(left="0.6" if state == "a backup is out" else "5.0")
+        call = await first_call()
+        body = b"x" * (60_000 if state == "its answer is read slowly" else 5)
+        with short_times(flush_s=3.0):
+            leaving = asyncio.ensure_future(program.leave(rig.config, rig.proxy, rig.front, rig.life))
+            while rig.front._server is not None:
+                await asyncio.sleep(0)
+            if state == "a retry is pending":
+                call.reset()  # type: ignore[attr-defined]
+                call = await first_call()
+            elif state == "a backup is out":
+                call = await first_call()  # the first one hangs
+            call.reply(200, body)  # type: ignore[attr-defined]
+            answer = await caller.answer()
+            assert (answer.status, answer.body, answer.headers["connection"]) == (200, body, "close")
+            caller.writer.close()
+            await leaving
+
+    run(test)
+
+
+# --- signals at odd moments ---
+
+
+def test_sigterm_twice_ends_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        port = free_port()
+        process = await launch(json.dumps(make_config(
+            f"127.0.0.1:{port}", "127.0.0.1:1", member("s1", backend.address), group_size=1)), tmp_path)
+        await until_serving(process)
+        caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
+        caller.ask()
+        call = await backend.next()
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.05)
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        call.reply(200, b"x")
+        assert (await caller.answer()).status == 200
+        caller.writer.close()
+        assert await process.wait() == 0
+
+    run(test)
+
+
+def test_sighup_before_the_proxy_runs_is_neither_its_end_nor_lost() -> None:
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        early = program.EarlyReload()
+        os.kill(os.getpid(), signal.SIGHUP)
+        assert early.is_due
+    finally:
+        signal.signal(signal.SIGHUP, before)
