Keep descriptors for discovery, servers and the door from crowds, also from one that comes at one moment

At fault, by a probe (100 descriptors, 400 clients, every other one stopped in its head): 86 clients held where 68 are theirs, for 2.5 s. Frontend.opened let every newcomer in whom it found no one to end for, and the loop accepts all that wait before it tells of any, so the reserve was used up. And what lingered after an error counted, and could not be ended for others.

Three tests of the limit set the places kept for servers to none: what they check at the limit itself is unchanged.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -164,9 +164,9 @@
         life.is_succeeded = handover.is_succeeded
         handover.watch()
     if listener is not None:
-        await front.listen_on(listener)
+        front.listen_on(listener)
     else:
-        await front.listen(*config.listen)
+        front.listen(*config.listen)
     proxy.start()
     # Guards against long collector pauses: what the start made stays for good, and little else is cyclic.
     gc.collect()
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -66,7 +66,9 @@
 class Descriptors:
     """Guards against running out of file descriptors: what all sockets together may be."""
 
-    RESERVE = 32  # standard streams, the loop's own, discovery, and sockets that are just closing
+    RESERVE = 32  # standard streams, the loop's own, discovery, sockets that are just closing; and of these
+    HEARD = 8  # clients over the limit that are still heard, and refused with an answer
+    FOR_SERVERS = 8  # connections to backends where no client can be ended for them
 
     def __init__(self, limit: int, set_aside: int = 0) -> None:
         self.limit = max(limit - self.RESERVE - set_aside, 1)
@@ -76,6 +78,9 @@
     def is_full(self) -> bool:
         return self.used >= self.limit
 
+    def has_place_for_server(self) -> bool:
+        return self.used < self.limit + self.HEARD + self.FOR_SERVERS
+
 
 class Exchange:
     """One attempt on the wire. `done` is called once, unless the exchange is aborted first."""
@@ -474,7 +479,9 @@
             self._take_out(connection)
             connection.start(exchange)
             return True
-        if self._descriptors.is_full() and not self.close_oldest_idle() and not self._descriptors.make_room():
+        descriptors = self._descriptors
+        if (descriptors.is_full() and not self.close_oldest_idle() and not descriptors.make_room()
+                and not descriptors.has_place_for_server()):
             return False
         connection = Connection(self, server, address, exchange)
         exchange.connection = connection
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -293,6 +293,7 @@
     run(test)
 
 
+@mock.patch.object(Descriptors, "FOR_SERVERS", -Descriptors.HEARD)  # none kept: the limit itself
 def test_descriptors_run_out_for_idle_connections_first() -> None:
     """Over the limit the process could accept nobody: an idle one goes, else an attempt ends unsent."""
     async def test() -> None:
@@ -319,6 +320,7 @@
     run(test)
 
 
+@mock.patch.object(Descriptors, "FOR_SERVERS", -Descriptors.HEARD)  # none kept: the limit itself
 def test_a_new_caller_is_let_in_at_the_cost_of_idle_connections() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
@@ -361,6 +363,7 @@
     run(test)
 
 
+@mock.patch.object(Descriptors, "FOR_SERVERS", -Descriptors.HEARD)  # none kept: the limit itself
 def test_a_caller_that_has_just_connected_is_left_to_send_its_first_request() -> None:
     """Ended before it is read, a first request has failed for good."""
     async def test() -> None:
