--- a/mastlift/lab/emulator/lists.py
+++ b/mastlift/lab/emulator/lists.py
@@ -119,7 +119,7 @@
         self.balancer = Balancer(settings, self.number)
         self.told: dict[str, float] = {}
         self.silent_since: float | None = None
-        known = world.whole()
+        known = world.whole() if world.knows else {}
         self.discovery = Discovery(cast(Any, world.loop), [("127.0.0.1", self.number + 1)], ListReader(("a", "b"), ()),
                                    world.asked, known, lambda event, _: self.handle(event))
         self.requests = count()
@@ -148,11 +148,12 @@
 
 class World:
     def __init__(self, proxies: int, servers: int, *, asked: bool, all_call_s: float = 3.7, wait_s: float = 2.0,
-                 seed: int = 1) -> None:
-        """`all_call_s`: how long discovery takes to answer a call of each proxy, one after another."""
+                 seed: int = 1, knows: bool = True) -> None:
+        """`all_call_s`: how long discovery takes to answer a call of each proxy, one after another. `knows`: proxies start
+        with a list."""
         random.seed(seed)
         self.random = random.Random(seed)
-        self.asked = asked
+        self.asked, self.knows = asked, knows
         self.loop = Loop()
         self.loop.connect = self._connect
         self.service_s, self.wait_s = all_call_s / proxies, wait_s
@@ -179,6 +180,14 @@
 
     # --- what happens ---
 
+    def restart(self, share: float) -> list[Proxy]:
+        """So many of the proxies are new processes, all at once."""
+        chosen = self.random.sample(self.addresses, round(share * len(self.proxies)))
+        for number in chosen:
+            self.proxies[number].discovery.stop()
+            self.proxies[number] = Proxy(self, number)
+        return [self.proxies[number] for number in chosen]
+
     def clients_come(self) -> None:
         for proxy in self.proxies:
             self.loop.call_later(self.random.uniform(0.0, 0.3), proxy.ask)
@@ -275,7 +284,7 @@
             wire.watching = True
             wire.say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             names = dict.fromkeys(self.changes[wire.index:])
-            self._tell(wire, [self.members[name] for name in names])
+            self._tell(wire, [self.members[name] for name in (names if self.knows else self.members)])
             self.loop.call_later(LINE_S, self._empty_line, wire)
         self.serve()
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -230,3 +230,22 @@
         assert early.is_due
     finally:
         signal.signal(signal.SIGHUP, before)
+
+
+def test_small_writes_leave_at_once_on_both_sides() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        rig = await Rig().start(member("s1", backend.address))
+        caller = await rig.caller()
+        caller.ask()
+        await backend.next()
+        (client,) = rig.front.connections
+        (live,) = rig.proxy._requests.values()
+        exchange = live.attempts[0].exchange
+        assert client._transport is not None and exchange is not None and exchange.connection is not None
+        for transport in (client._transport, exchange.connection._transport):
+            assert transport is not None
+            raw = transport.get_extra_info("socket")
+            assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    run(test)
