Turn down a time to wait that is beyond all numbers in ms

By reading: X-Expires-In 1e307 is a number of seconds and none of ms; the request went on with "X-Expires-In: inf", and its timers had no end. At fault: RequestReader.read checked the seconds only. Now 400 like other bad input; the new case of test_bad_input_is_answered_4xx_and_the_proxy_serves_on fails (no answer in 30 s) with the former line.

--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -151,8 +151,8 @@
             request.cost_ms = read_number(hint) / 1000.0 if hint else None
         except (KeyError, ValueError):
             raise BadRequest(400, "X-Expires-In or X-Size-Hint is missing or no number") from None
-        if request.left_ms <= 0:
-            raise BadRequest(400, "X-Expires-In is not above 0")
+        if not 0.0 < request.left_ms < math.inf:  # in ms a number may have none
+            raise BadRequest(400, "X-Expires-In is not above 0, or beyond all numbers")
         request.tenant = self._tenants.get(headers.get(b"x-customer", b""), 0)
         request.is_retry = headers.get(b"x-second-try") == b"1"
 
--- a/mastlift/lab/emulator/lists.py
+++ b/mastlift/lab/emulator/lists.py
@@ -149,8 +149,8 @@
 class World:
     def __init__(self, proxies: int, servers: int, *, asked: bool, all_call_s: float = 3.7, wait_s: float = 2.0,
                  seed: int = 1, knows: bool = True) -> None:
-        """`all_call_s`: how long discovery takes to answer a call of each proxy, one after another. `knows`: proxies start
-        with a list."""
+        """`all_call_s`: how long discovery takes to answer a call of each proxy, one after another. `knows`: proxies
+        start with a list."""
         random.seed(seed)
         self.random = random.Random(seed)
         self.asked, self.knows = asked, knows
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -29,6 +29,7 @@
     "a deadline in words": (head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: soon"), 400),
     "a deadline that is no number": (head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: nan"), 400),
     "a deadline without end": (head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: inf"), 400),
+    "a deadline beyond all numbers": (head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: 1e307"), 400),
     "a deadline gone by": (head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: -1"), 400),
     "the wrong method": (head("POST /read/1 HTTP/1.1", *GOOD, "Content-Length: 0"), 405),
     "no key": (head("POST /book/1 HTTP/1.1", "X-Trace-Id: 1", "X-Qos: book", "X-Expires-In: 1",
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -113,7 +113,7 @@
 @pytest.mark.parametrize(("all_call_s", "down_s"), [(1.0, 0.0), (3.7, 0.0), (6.5, 0.0), (1.0, 8.0), (3.7, 6.0)])
 def test_nine_in_ten_of_many_restarted_processes_know_servers_within_10_s(all_call_s: float, down_s: float,
                                                                          asked: bool) -> None:
-    """From an empty list, so that `/up` waits for discovery; seven in ten restart at once, before it is back or slow."""
+    """From an empty list, so that `/up` waits for discovery; seven in ten restart at once, it is down or slow."""
     world = World(100, 30, asked=asked, all_call_s=all_call_s if asked else 0.0, knows=False)
     world.run(30.0)
     if down_s:
