--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -126,3 +126,73 @@
             server.close()
 
     run(test)
+
+
+SPOILT = {
+    "nothing": b"", "half a line": b"HTTP/1.1 20", "half a head": b"HTTP/1.1 200 OK\r\nContent-Le",
+    "half a body": b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", "half a chunk":
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nha", "chunks without their end":
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+}
+
+
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize("kind", ["read", "book", "pay"])
+@pytest.mark.parametrize("spoilt", [*SPOILT, "no length"])
+def test_an_answer_that_breaks_is_no_answer_and_what_may_have_run_goes_out_again_only_if_its_class_allows(
+        spoilt: str, kind: str, end: str) -> None:
+    """A reset is no end, also where an answer has no length; a close is one there."""
+    async def test() -> None:
+        servers = [await FakeServer().start() for _ in range(3)]
+        # Of one cell each: a key may not leave it.
+        rig = await Rig().start(*(member(f"s{i}", server.address, cell=i) for i, server in enumerate(servers)))
+        caller = await rig.caller()
+        caller.ask(kind)
+        tasks = [asyncio.ensure_future(server.next()) for server in servers]
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        call = done.pop().result()
+        call.writer.write(SPOILT.get(spoilt, b"HTTP/1.1 200 OK\r\n\r\nall"))
+        await call.writer.drain()
+        if end == "reset":
+            await asyncio.sleep(0.02)  # the bytes leave before the reset throws them away
+            call.reset()
+        else:
+            call.writer.close()
+        if spoilt == "no length" and end == "close":
+            answer = await caller.answer()
+            assert (answer.status, answer.body) == (200, b"all")
+        elif kind == "read":
+            done, _ = await asyncio.wait([task for task in tasks if not task.done()],
+                                         return_when=asyncio.FIRST_COMPLETED)
+            done.pop().result().reply(200, b"again")
+            assert (await caller.answer()).body == b"again"
+        else:
+            assert (await caller.answer()).status in (502, 503)
+            assert sum(task.done() for task in tasks) == 1
+        assert not rig.proxy.owes_answers()
+        for task in tasks:
+            task.cancel()
+
+    run(test)
+
+
+def test_an_answer_that_never_ends_is_given_up_in_time_and_not_sent_again() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        rig = await Rig().start(member("s1", backend.address))
+        caller = await rig.caller()
+        caller.ask("pay", left="0.4")
+        call = await backend.next()
+        call.open_stream()
+
+        async def go_on() -> None:
+            while True:
+                call.chunk(b"x")
+                await asyncio.sleep(0.005)
+        going = asyncio.create_task(go_on())
+        assert (await caller.answer()).status == 502
+        await call.closed()
+        going.cancel()
+        assert backend.calls.empty()
+
+    run(test)
