--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -44,6 +44,7 @@
 # A caller that has gone must not be worked for 0.1 s later. While it is not read, its end shows only by a look; and
 # whether it has closed or only ended its sending shows by what its machine makes of a few bytes.
 LOOK_FOR_END_S, LOOK_FOR_RESET_S = 0.04, 0.015
+SILENT_LINGER_S = 0.3  # and one that never sent a request has to be closed within 3 s
 LONGEST_LINGER_S = 30.0  # and one whose body is not wanted any more, while it goes on
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
            408: b"Request Timeout",
@@ -276,7 +277,7 @@
             self._bad_input(BadRequest(408, "the request did not come in time"))
             self._next()
         elif self.is_idle():
-            self.shut_down()
+            self.shut_down(SILENT_LINGER_S)
         elif not self._is_over():
             # Bytes have come to the machine, not yet to us: perhaps the request.
             self._read_timer = self._front.loop.call_later(LOOK_AGAIN_S, self._look_at_pace)
@@ -641,7 +642,7 @@
             self._transport.write_eof()
             self.lingers_since = self._front.loop.time()
             self._linger_until = self.lingers_since + linger_s
-            self._linger = self._front.loop.call_later(LINGER_S, self._end_linger)
+            self._linger = self._front.loop.call_later(min(linger_s, LINGER_S), self._end_linger)
 
     def _end_linger(self) -> None:
         assert self._transport is not None
@@ -689,11 +690,11 @@
         """Half a head has come, and no byte more for long."""
         return self._in_head and self._heard_at <= since and self.request is None and not self._ahead
 
-    def shut_down(self) -> None:
+    def shut_down(self, linger_s: float = LINGER_S) -> None:
         """Of one at rest. What its caller sends just now is read and dropped, not sent on: the caller sees the end and
         asks again elsewhere. Closed over those bytes, it would be reset, and its last answer might go with it.
         """
-        self._end(LINGER_S)
+        self._end(linger_s)
 
     def close(self) -> None:
         if self._transport is not None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -229,7 +229,8 @@
 
 
 def test_silence_before_a_first_request_is_owed_a_close_within_3_s() -> None:
-    assert frontend.REST_S <= frontend.READ_S < 3.0
+    assert frontend.REST_S <= frontend.READ_S
+    assert frontend.READ_S + frontend.SILENT_LINGER_S < 3.0  # also where it takes no notice of the end
 
 
 def test_a_caller_that_has_asked_once_may_rest() -> None:
