--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -49,7 +49,7 @@
 TAKEN_MS = 2_000.0  # servers choke within seconds: what answers take is judged over no longer time
 HOLD_SHARE = 0.25  # of its aim that a request may wait at the entry for room
 COLD_MARGIN = 0.5  # of the stated overload that all balancers together may put on a cold server
-WARM_SHARE = 0.5  # of all servers that has to be warm for what they bear to count: at 1.6 times its part, and a margin
+WARM_SHARE = 0.5  # of all servers that has to be warm for what they bear to count: it is 1.6 times a part
 COLD_LEAD = 1.8  # a cold server is weighed by so many times the least that it may bear by then
 SAME_MS = 50.0  # patience that differs by less is the same: what is left varies with the way here
 LOCAL_POWER = 3.0  # answers of the own zone half again as slow as others take most of that away
@@ -67,8 +67,8 @@
 
 
 def widest_pause_ms(due_ms: float) -> float:
-    """Before the next call for a list, where so much is left until news is due: as wide as may be, since all watches
-    fall silent at one moment when discovery's machine does."""
+    """Before the next call for a list, where so much is left until news is due: as wide as may be, since all
+    watches fall silent at one moment when discovery's machine does."""
     return LINE_SHARE * max(due_ms, 0.0)
 
 
@@ -787,15 +787,16 @@
             return self._borne_rate / self._covered
         if self._warm_weight > 0.0:
             return 0.0  # the first few calls to warm servers will tell
-        # A new balancer that knows no warm server: its even part of what all tenants may send, else what it gets.
+        # A new balancer that knows no warm server: its part of what all tenants may send, else what it gets.
         weight = sum(member.weight for member in self._rotated)
         allowance = sum(tenant.allowance_per_s for tenant in self._settings.tenants) / 1000.0
         return (allowance / self._settings.balancers or self._budget.arrivals(now)) / weight
 
     def _weigh_warm(self, now: float) -> None:
         cold = [member for member in self._rotated if self._warmth(member, now) < 1.0]
-        self._warm_weight = sum(member.weight for member in self._rotated) - sum(member.weight for member in cold)
-        self._warm_until = min((m.entry.started_at for m in cold), default=math.inf) + self._settings.warm_up_ms
+        self._warm_weight = sum(m.weight for m in self._rotated) - sum(m.weight for m in cold)
+        first = min((m.entry.started_at for m in cold), default=math.inf)
+        self._warm_until = first + self._settings.warm_up_ms
 
     def _count_send(self, member: Member, now: float) -> None:
         if self._warmth(member, now) < 1.0:
