Go on asking for lists after more than 1,023 failed calls in a row

The pause grew as 2.0 ** failures; from 1,024 failures in a row on that raises OverflowError. The module then failed on the event, set no timer, and the proxy never called discovery again: some half an hour without discovery was enough. The exponent is bounded now; the pause reaches its cap long before.

test_an_hour_of_failures_in_a_row_does_not_end_the_calls (2,000 failures) fails without it with OverflowError.

--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -62,6 +62,7 @@
 
 
 SAME_START_MS = 1_000.0  # two processes read the machines' clock a little differently
+MOST_DOUBLINGS = 10  # of a pause: a power of two that grows on for an hour is no number any more
 HURRY_MS = 300.0  # more after each failure, between calls for a list that is wanted soon
 LINE_SHARE = 0.5  # of what is left until news is due is for discovery, which answers all balancers in turn
 
@@ -615,7 +616,8 @@
         self._watch_failures = self._watch_failures + 1 if failed else 0
         if self._settings.must_ask and not self._watch_due and (failed or event.kind is ListKind.CACHED):
             # Growing pauses spare a slow discovery; half of the time to ask within is never exceeded.
-            widest = self._settings.ask_within_ms * min(2.0 ** self._watch_failures / 8, 0.5)
+            growth = 2.0 ** min(self._watch_failures, MOST_DOUBLINGS)
+            widest = self._settings.ask_within_ms * min(growth / 8, 0.5)
             if self._hurries:
                 widest = min(widest, HURRY_MS * self._watch_failures)
             # A call that waited long before it failed was itself a pause.
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,6 +9,7 @@
 import time
 import tracemalloc
 from collections.abc import Iterator
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
@@ -20,6 +21,7 @@
 from cometdoor.upstream import Connection
 from cometdoor.watch import Objects
 from jasperhall import api
+from jasperhall.api import ListKind
 from jasperhall.balancer import Balancer
 from mastlift.lab.emulator.lists import GRACE_S, NEWS_DUE_S, SETTINGS, World
 from tests.rig import FakeServer, Rig, member, run
@@ -349,3 +351,12 @@
     assert sum(member.weight for member in large[0]._rotated) > 0.0
     assert large[2] < 10 * small[2]
     assert large[1] < (8 if form != "changes" else 8 * 8) * 1.3 * small[1]
+
+
+def test_an_hour_of_failures_in_a_row_does_not_end_the_calls() -> None:
+    balancer = Balancer(replace(SETTINGS, must_ask=True), 1)
+    for failures in range(2_000):
+        now = 1000.0 * failures
+        (timer,) = balancer.handle(api.ListChanged(ListKind.FAILED, due_ms=2_000.0), now)
+        assert isinstance(timer, api.SetTimer)
+        assert balancer.handle(api.TimerFired(timer.token), now + timer.after_ms) == [api.Watch()]
