Call discovery at once after a watch has ended, and leave time for its queue

Ruled out: the late loop, the proxy that was answered last (it serves another tier), the start's refusals.

At fault: Discovery.ended gave every end NEWS_DUE_S, and widest_pause_ms left nothing for the queue. Now an ended watch is due in 2 s, a pause leaves 2 s for the queue, and refused calls come again after 20 ms doubled up to 1.2 s in place of 0 to 0.3 s each, so that who has just lost a watch goes before those who were refused often.

The test of a move now expects 2.0 s in place of 3.9 s after a reset watch, which is stricter.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -20,22 +20,27 @@
 from cometdoor.listfile import write_list
 from cometdoor.sources import FIRST_ANSWER_S, Sources
 from cometdoor.watch import WatchConnection
-from jasperhall.api import LINE_MS, NEWS_DUE_MS, ListChanged, ListKind, Server, State
+from jasperhall.api import LINE_MS, NEWS_DUE_MS, QUEUE_WAIT_MS, ListChanged, ListKind, Server, State
 from jasperhall.balancer import widest_pause_ms
 
 log = logging.getLogger(__name__)
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 # Whatever fails, a change is in use 6 s after discovery had it and could be reached, and sends end 250 ms later. All
-# proxies have to be served in that time by a discovery that answers in turn: of what is left after a failure half is
-# for the pause, drawn by each, and half for discovery's line. The longest ways, each from its worst moment:
-#   a watch falls silent        2.25 s to notice + 1.875 s pause + 1.875 s line = 6.0 s
-#   and its new call is silent  2.25 s + 1.875 s + 2.1 s to give the call up = 6.225 s, and a new cycle begins
+# proxies have to be served in that time by a discovery that answers in turn: of what is left after a failure at most
+# half is for the pause, drawn by each, and at least 2 s, the longest wait of a call that it takes, for its queue. The
+# longest ways, each from its worst moment:
+#   a watch falls silent        2.25 s to notice + 1.75 s pause + 2.0 s queue = 6.0 s
+#   and its new call is silent  2.25 s + 1.75 s + 2.1 s to give the call up = 6.1 s, and a new cycle begins
+#   a watch ends                no pause + 2.0 s queue = 2.0 s
 #   discovery returns while a call waits in vain  2.1 s to its end + 1.95 s pause + 1.95 s line = 6.0 s
 #   the same where news was overdue before:       4.2 s + 0.9 s + 0.9 s = 6.0 s
 #   or right after a call was refused, reset or answered 503: 1.95 s pause + 4.05 s line = 6.0 s
 # What can't be told in time has no such sum: by a discovery that takes longer for a call of each proxy than the shares
 # for its line, or that lets a call wait for more than 4.2 s.
+# A watch may end in place of reporting a change. Discovery answers a call within 2 s or refuses it, so what the watch
+# would have reported counts as known so long after its end, and the new call has to be taken at once.
+ENDED_DUE_S = QUEUE_WAIT_MS / 1000.0
 SILENCE_S = LINE_MS / 1000.0 + 0.25  # a watch says something every 2 s; the rest is for the way and for a late loop
 # The first line waits its turn, and a call made anew goes to the end of the line: with news overdue the time doubles.
 FIRST_LINE_S, LONGEST_FIRST_LINE_S = 2.1, 4.2
@@ -110,6 +115,7 @@
         self._pause_s = FIRST_PAUSE_S
         self._first_line_s = FIRST_LINE_S
         self._news_due = loop.time() + NEWS_DUE_S  # when what is missed counts as told
+        self._ended_due = math.inf  # when what an ended watch may have left out counts as told
         self._moved_at = -math.inf
         self._moving: asyncio.TimerHandle | None = None  # the next call, where it is not the module's to order
         self._list_file = list_file
@@ -212,6 +218,10 @@
             return
         self._watch = None
         log.info("discovery: %s", reason)
+        if watch.is_answered:
+            self._ended_due = self.loop.time() + ENDED_DUE_S
+        elif not watch.was_connected:
+            self._ended_due = math.inf  # discovery can't be reached: nothing counts as told before it can
         if self._sources.several and (soon := self._sources.failed()) is not None:
             self._moving = self.loop.call_later(soon, self.watch)
             return
@@ -246,10 +256,12 @@
         now = self.loop.time()
         if not now < self._news_due < math.inf:
             self._news_due = now + NEWS_DUE_S
-        return min(self._news_due - now, NEWS_DUE_S - self._first_line_s)
+        due_in_s = min(self._news_due - now, NEWS_DUE_S - self._first_line_s)
+        return min(due_in_s, self._ended_due - now) if now < self._ended_due else due_in_s
 
     def _is_told(self) -> None:
         """Nothing is missed, unless the watch is one at the address from before a move."""
+        self._ended_due = math.inf
         if self._watch is not None and self._watch.opened_at >= self._moved_at:
             self._news_due = math.inf
 
--- a/cometdoor/watch.py
+++ b/cometdoor/watch.py
@@ -106,6 +106,10 @@
         self._heard_at = self.opened_at = owner.loop.time()
         self._silence = owner.loop.call_later(patience_s, self._check_silence)
 
+    @property
+    def was_connected(self) -> bool:
+        return self._transport is not None
+
     def open(self, address: Address) -> None:
         self._opening = self._owner.loop.create_task(self._connect(address))
 
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -16,7 +16,7 @@
 from zlib import crc32
 
 from jasperhall import api
-from jasperhall.api import Effect, ListKind, Outcome, Scope, State
+from jasperhall.api import QUEUE_WAIT_MS, Effect, ListKind, Outcome, Scope, State
 
 MAX_BACKUP_RATIO = 0.05  # backups among the legs of the window; copies are held from here on
 WINDOW_MS = 10_000.0
@@ -62,15 +62,18 @@
 
 
 SAME_START_MS = 1_000.0  # two processes read the machines' clock a little differently
-MOST_DOUBLINGS = 10  # of a pause: a power of two that grows on for an hour is no number any more
 HURRY_MS = 300.0  # more after each failure, between calls for a list that is wanted soon
+# Between calls for a list that is overdue or nearly so, doubled with each failure in a row: a refusal comes
+# back at once, and who has just lost a watch goes before those who were refused often.
+FIRST_RETRY_MS, LONGEST_RETRY_MS = 20.0, 1_200.0
+MOST_DOUBLINGS = 10  # a power of two that grows on for an hour is no number any more
 LINE_SHARE = 0.5  # of what is left until news is due is for discovery, which answers all balancers in turn
 
 
 def widest_pause_ms(due_ms: float) -> float:
     """Before the next call for a list, where so much is left until news is due: as wide as may be, since all
-    watches fall silent at one moment when discovery's machine does."""
-    return LINE_SHARE * max(due_ms, 0.0)
+    watches fall silent at one moment when discovery's machine does, but early enough for the call's wait."""
+    return max(min(LINE_SHARE * due_ms, due_ms - QUEUE_WAIT_MS), 0.0)
 
 
 class Average:
@@ -621,7 +624,8 @@
             if self._hurries:
                 widest = min(widest, HURRY_MS * self._watch_failures)
             # A call that waited long before it failed was itself a pause.
-            least = max(HURRY_MS - (now - self._asked_at), 0.0)
+            spacing = min(FIRST_RETRY_MS * growth, LONGEST_RETRY_MS)
+            least = max(spacing - (now - self._asked_at), 0.0)
             widest = min(widest, max(widest_pause_ms(event.due_ms), least))
             self._watch_due = self._set_timer(None, self._random.uniform(0.0, widest))
         if failed:
--- /dev/null
+++ b/mastlift/lab/emulator/ended_watches.py
@@ -0,0 +1,101 @@
+"""Watches that end in place of reporting a drain: how many proxies learn of it too late.
+
+The real discovery client and decision module of each proxy run before the emulator's discovery, which answers in turn.
+Runs are compared by seed: the timing of calls in use, the former one, and the bound that no order of calls passes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from typing import Any
+from unittest import mock
+
+from mastlift.lab.emulator.lists import ENDED_DUE_S, GRACE_S, Wire, World
+
+SERVERS = 30
+SETTLED_S = 20.0  # until all proxies have a watch
+WATCHED_S = 12.0  # after the watches have ended
+DRAINED = "s2"
+LATE_AFTER_S = ENDED_DUE_S + GRACE_S
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """`all_call_s`: a call of each proxy, one after another. `share` of the watches end. `reset_before_s`: all watches
+    were reset so long before, so that discovery's queue is full; 0: it is empty."""
+
+    proxies: int
+    all_call_s: float
+    share: float
+    reset_before_s: float = 0.0
+
+    @property
+    def ended(self) -> int:
+        return round(self.share * self.proxies)
+
+    @property
+    def bound(self) -> float:
+        """The share that is late in any order of calls, were discovery to answer only those."""
+        in_time = int(LATE_AFTER_S / (self.all_call_s / self.proxies))
+        return max(self.ended - in_time, 0) / max(self.ended, 1)
+
+
+@dataclass(slots=True)
+class Result:
+    """Seconds from the end of each watch until its proxy had the list; the calls that all proxies made meanwhile."""
+
+    delays_s: list[float]
+    calls: int
+
+    @property
+    def late(self) -> int:
+        return sum(delay > LATE_AFTER_S for delay in self.delays_s)
+
+
+SCENARIOS = (
+    Scenario(5, 1.0, 0.4), Scenario(17, 6.5, 0.2), Scenario(17, 6.5, 1.0), Scenario(17, 6.5, 1 / 6, 5.4),
+    Scenario(17, 6.5, 1 / 6, 3.4), Scenario(60, 6.5, 1 / 6, 4.4), Scenario(230, 3.7, 0.2), Scenario(230, 3.7, 1.0),
+    Scenario(230, 6.5, 0.2, 3.4),
+)
+
+
+@contextmanager
+def former_timing() -> Iterator[None]:
+    """As before: an ended watch gave 6 s, and the pause left nothing for the wait in discovery's queue."""
+    with ExitStack() as stack:
+        for name, value in (("cometdoor.discovery.ENDED_DUE_S", 6.0), ("jasperhall.balancer.QUEUE_WAIT_MS", 0.0),
+                            ("jasperhall.balancer.FIRST_RETRY_MS", 300.0),
+                            ("jasperhall.balancer.LONGEST_RETRY_MS", 300.0)):
+            stack.enter_context(mock.patch(name, value))
+        yield
+
+
+def play(scenario: Scenario, seed: int) -> Result:
+    world = World(scenario.proxies, SERVERS, asked=True, all_call_s=scenario.all_call_s, seed=seed)
+    world.run(SETTLED_S)
+    calls = len(world.calls)
+    if scenario.reset_before_s:
+        world.end_watches(1.0)
+        world.run(scenario.reset_before_s)
+    known_at: dict[int, float] = {}
+    tell = world.tell
+
+    def note(wire: Wire, entries: Sequence[dict[str, Any]]) -> None:
+        if any(entry["id"] == DRAINED for entry in entries):
+            known_at.setdefault(wire.number, world.loop.now)
+        tell(wire, list(entries))
+
+    world.tell = note  # type: ignore[method-assign]
+    ended_at = world.loop.now
+    ended = world.end_watches(scenario.share, DRAINED)
+    world.run(WATCHED_S)
+    delays = [known_at.get(proxy.number, world.loop.now) - ended_at for proxy in ended]
+    return Result(delays, len(world.calls) - calls)
+
+
+def play_seeds(scenario: Scenario, seeds: Sequence[int]) -> Result:
+    """All seeds together."""
+    results = [play(scenario, seed) for seed in seeds]
+    return Result([delay for result in results for delay in result.delays_s], sum(result.calls for result in results))
--- a/mastlift/lab/emulator/lists.py
+++ b/mastlift/lab/emulator/lists.py
@@ -1,5 +1,6 @@
 """A fleet's discovery clients in simulated time: the real watch code and the real decisions of many proxies, before one
-stand-in discovery that answers in turn, refuses who waits too long, falls silent, goes down, drains servers.
+stand-in discovery that answers in turn, refuses at once whoever would wait too long, goes on with calls whose caller
+has left, ends watches in place of reporting a change, falls silent, goes down, drains servers.
 
 Seen from outside: for each proxy the moment from which a server counts as announced to be leaving, by the terms, and
 each send after that and the grace of 250 ms.
@@ -22,6 +23,8 @@
 
 START_S = 1000.0
 GRACE_S, NEWS_DUE_S, LINE_S = 0.25, 6.0, 2.0  # of the terms, and not taken from the program
+ENDED_DUE_S = 2.0  # from a watch's end: what it left out counts as told then
+REFUSAL_S = 0.02  # until the answer to a call that is refused, there and back
 # With 10 s to ask within, the widest pause after one failure happens to end in time.
 SETTINGS = api.Settings(classes=(api.RequestClass(aim_ms=1000, deadline_ms=3000),), ask_within_ms=40_000.0)
 
@@ -82,14 +85,18 @@
         self.came = 0.0
         self.silent = self.closed = self.watching = False
 
+    @property
+    def number(self) -> int:
+        """The proxy that calls."""
+        return int(self.protocol._owner._sources.current[1]) - 1
+
     def write(self, head: bytes) -> None:
         self.index = int(head.split(b"index=")[1].split()[0])
         self.came = self.world.loop.now
         self.world.calls.append(self.came)
         self.silent = self.came < self.world.mute_until
         if not self.silent and not self.world.is_down:
-            self.world.line.append(self)
-            self.world.serve()
+            self.world.admit(self)
 
     def say(self, data: bytes) -> None:
         self.world.loop.call_later(0.001, self._arrive, data)
@@ -116,7 +123,7 @@
         world = self.world
         settings = replace(SETTINGS, must_ask=world.asked, balancers=len(world.addresses), position=self.number,
                            zone=self.number % 2)
-        self.balancer = Balancer(settings, self.number)
+        self.balancer = Balancer(settings, world.random.getrandbits(64))
         self.told: dict[str, float] = {}
         self.silent_since: float | None = None
         known = world.whole() if world.knows else {}
@@ -163,10 +170,12 @@
         self.changes: list[str] = []  # the name that each revision changed
         self.line: deque[Wire] = deque()
         self.calls: list[float] = []
+        self.attempts = 0  # to connect, also where nobody listens
         self.refused = self.sends = self.refusals = 0
         self.late: list[tuple[int, str, float]] = []
         self.wires: list[Wire] = []
         self.busy = False
+        self.busy_until = 0.0
         self.is_down = False
         self.down_answers = "refused"
         self.reached_since = START_S  # discovery can be called since then
@@ -208,6 +217,21 @@
         """Calls are taken, and get no answer."""
         self.mute_until = self.reached_since = self.loop.now + seconds
 
+    def end_watches(self, share: float, missed: str = "") -> list[Proxy]:
+        """Of so many proxies, all at once; `missed` drains, and these watches end in place of reporting it."""
+        watching = [wire for wire in self.wires if wire.watching and not wire.closed and not wire.silent]
+        ending = self.random.sample(watching, round(share * len(watching)))
+        for wire in ending:
+            wire.watching = False
+            self.loop.call_later(0.0, wire.protocol.connection_lost, None)
+        self.wires = [wire for wire in self.wires if wire not in ending]
+        proxies = [self.proxies[wire.number] for wire in ending]
+        if missed:
+            self.change(missed)
+            for proxy in proxies:
+                self._count(proxy, missed, self.loop.now + ENDED_DUE_S)
+        return proxies
+
     def stall(self, seconds: float) -> None:
         """Lines come so much later."""
         self.stalled_until = self.loop.now + seconds
@@ -242,7 +266,7 @@
                 self._count(proxy, name, self.loop.now)  # the agent has it
         for wire in self.wires:
             if wire.watching and not wire.silent and not wire.closed and not self.is_down:
-                self._tell(wire, [entry])
+                self.tell(wire, [entry])
 
     def _count(self, proxy: Proxy, name: str, at: float) -> None:
         if self.members[name]["phase"] != "in_service":
@@ -251,6 +275,7 @@
     # --- discovery's work ---
 
     def _connect(self, make: Callable[[], Any]) -> None:
+        self.attempts += 1
         if self.is_down and self.down_answers == "refused":
             raise ConnectionRefusedError("down")
         protocol = make()
@@ -265,17 +290,21 @@
         self.wires.append(wire)
         protocol.connection_made(wire)
 
+    def admit(self, wire: Wire) -> None:
+        """A call that would wait for too long is refused at once."""
+        if (len(self.line) + 1) * self.service_s + max(self.busy_until - self.loop.now, 0.0) > self.wait_s:
+            self.refused += 1
+            self.loop.call_later(REFUSAL_S, wire.say, b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            return
+        self.line.append(wire)
+        self.serve()
+
     def serve(self) -> None:
-        while not self.busy and self.line:
+        """Calls whose caller has left take their time all the same."""
+        if not self.busy and self.line:
             wire = self.line.popleft()
-            if wire.closed:
-                continue
-            waited = self.loop.now - wire.came
-            if waited > self.wait_s:
-                self.refused += 1
-                wire.say(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
-                continue
             self.busy = True
+            self.busy_until = self.loop.now + self.service_s
             self.loop.call_later(self.service_s, self._answer, wire)
 
     def _answer(self, wire: Wire) -> None:
@@ -284,14 +313,14 @@
             wire.watching = True
             wire.say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             names = dict.fromkeys(self.changes[wire.index:])
-            self._tell(wire, [self.members[name] for name in (names if self.knows else self.members)])
+            self.tell(wire, [self.members[name] for name in (names if self.knows else self.members)])
             self.loop.call_later(LINE_S, self._empty_line, wire)
         self.serve()
 
-    def _tell(self, wire: Wire, entries: list[dict[str, Any]]) -> None:
+    def tell(self, wire: Wire, entries: list[dict[str, Any]]) -> None:
         told = {"revision": len(self.changes), "complete": False, "members": entries}
         wire.chunk(json.dumps(told).encode() + b"\n")
-        proxy = self.proxies[wire.protocol._owner._sources.current[1] - 1]
+        proxy = self.proxies[wire.number]
         proxy.silent_since = None
         for entry in entries:
             self._count(proxy, entry["id"], self.loop.now)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -282,6 +282,6 @@
             await script.until(api.ListChanged)
             again.reset()
             failed = await script.until(api.ListChanged)
-            assert failed.due_ms == pytest.approx(3_900.0)  # a new cycle: 6 s less the time to give a call up
+            assert failed.due_ms == pytest.approx(2_000.0)  # a new cycle, of a watch that had told and has ended
 
     run(test)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import statistics
 import sys
 import time
 import tracemalloc
@@ -23,6 +24,7 @@
 from jasperhall import api
 from jasperhall.api import ListKind
 from jasperhall.balancer import Balancer
+from mastlift.lab.emulator import ended_watches
 from mastlift.lab.emulator.lists import GRACE_S, NEWS_DUE_S, SETTINGS, World
 from tests.rig import FakeServer, Rig, member, run
 
@@ -353,6 +355,47 @@
     assert large[1] < (8 if form != "changes" else 8 * 8) * 1.3 * small[1]
 
 
+# --- watches that end in place of reporting a drain ---
+
+
+@BOTH
+@pytest.mark.parametrize(("proxies", "all_call_s", "share"), [(17, 6.5, 0.2), (230, 3.7, 0.2), (230, 3.7, 0.5)])
+def test_watches_end_in_place_of_reporting_a_drain(proxies: int, all_call_s: float, share: float, asked: bool) -> None:
+    for seed in range(4):
+        world = watched(proxies, 30, asked, all_call_s=all_call_s if asked else 0.0, seed=seed)
+        calls = len(world.calls)
+        ended = world.end_watches(share, "s2")
+        world.run(10.0)
+        assert ended
+        assert not world.late
+        assert len(world.calls) - calls < 1.5 * len(ended)
+
+
+def test_a_few_watches_end_in_place_of_reporting_and_all_learn_of_the_drain_in_time() -> None:
+    scenario = ended_watches.Scenario(17, 6.5, 0.2)
+    assert ended_watches.play_seeds(scenario, range(24)).late == 0
+    with ended_watches.former_timing():
+        assert ended_watches.play_seeds(scenario, range(24)).late > 0
+
+
+def test_who_has_just_lost_a_watch_goes_before_those_who_were_refused_often() -> None:
+    """Discovery's queue is full since all were reset; some watches that are up again end in place of reporting."""
+    scenario = ended_watches.Scenario(17, 6.5, 1 / 6, 3.4)
+    new = ended_watches.play_seeds(scenario, range(24))
+    with ended_watches.former_timing():
+        former = ended_watches.play_seeds(scenario, range(24))
+    assert scenario.bound == 0.0
+    assert new.late < 0.5 * former.late
+    assert statistics.median(new.delays_s) < ended_watches.LATE_AFTER_S < statistics.median(former.delays_s)
+
+
+def test_all_watches_end_at_once_and_no_order_of_calls_could_do_better() -> None:
+    scenario = ended_watches.Scenario(230, 3.7, 1.0)
+    result = ended_watches.play(scenario, 1)
+    assert result.late / 230 == pytest.approx(scenario.bound, abs=0.01)
+    assert result.calls < 4 * 230  # the refused ones come again at growing distances
+
+
 def test_an_hour_of_failures_in_a_row_does_not_end_the_calls() -> None:
     balancer = Balancer(replace(SETTINGS, must_ask=True), 1)
     for failures in range(2_000):
@@ -360,3 +403,17 @@
         (timer,) = balancer.handle(api.ListChanged(ListKind.FAILED, due_ms=2_000.0), now)
         assert isinstance(timer, api.SetTimer)
         assert balancer.handle(api.TimerFired(timer.token), now + timer.after_ms) == [api.Watch()]
+
+
+@pytest.mark.parametrize("answers", ["refused", "503", "reset"])
+def test_a_discovery_that_is_down_gets_hardly_more_calls_than_before(answers: str) -> None:
+    def attempts() -> int:
+        world = watched(100, 30, True, all_call_s=0.5)
+        before = world.attempts
+        world.go_down(8.0, answers)
+        world.run(8.0)
+        return world.attempts - before
+
+    with ended_watches.former_timing():
+        former = attempts()
+    assert 100 < attempts() < 1.15 * former
