Look at the client's socket before the first byte of an attempt leaves

Until now the end counted only once the loop had read it, and a client that was being asked whether it had closed still had its attempts begun.

Change: `Attempt.may_start` is the one gate in front of a first byte. It polls the client's socket. A reset is an end; an end of sending holds the attempt on its connection while the client is asked by the interim answer as before. When no reset has come the attempt starts (`client_stays`), so a half-close is still served, and requests sent ahead with it. An attempt for which an answer is already on its way to the client never starts.

With `is_waiting` taken out of the gate five of the 17 new tests fail (a request read after its client closed, accepted before or after; a kept connection; a connection that comes up; a further attempt). The others guard resets, which the loop sees by itself, and the half-close.

--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -98,6 +98,8 @@
 
     def client_gone(self, connection: ClientConnection) -> None: ...
 
+    def client_stays(self, connection: ClientConnection) -> None: ...
+
 
 def read_number(text: bytes) -> float:
     number = float(text)
@@ -206,6 +208,8 @@
         self._input = Input.OPEN
         self._look: asyncio.TimerHandle | None = None  # for the end of a caller that is not read
         self._asked_for_reset = False
+        self._is_in_doubt = False  # an attempt is held until it is known whether it has gone
+        self._stays = False  # it ended its sending, was asked, and did not reset the connection
         self._linger: asyncio.TimerHandle | None = None
         self._linger_until = 0.0
         self.lingers_since = math.inf
@@ -333,6 +337,21 @@
 
     # --- callers that have gone ---
 
+    def is_waiting(self) -> bool:
+        """Whether the caller is there for an answer, by its socket: while the loop is late its end lies there unread.
+
+        Where that cannot be said yet the handler hears of `client_gone` or `client_stays` later.
+        """
+        if self._is_over():
+            return False
+        seen = self._poll(select.POLLRDHUP)
+        if not seen or (seen == select.POLLRDHUP and self._stays):
+            return True
+        if not self._is_in_doubt:
+            self._is_in_doubt = True
+            self._look_after(0.0)  # not at once: an attempt for it is just about to start
+        return False
+
     def _owes(self) -> bool:
         return self.request is not None or bool(self._ahead)
 
@@ -372,10 +391,15 @@
             assert self._transport is not None
             self._gone()
             self._transport.abort()
-        elif seen & select.POLLRDHUP and self._input is Input.OPEN and not self._asked_for_reset:
+        elif seen & select.POLLRDHUP and not self._asked_for_reset and self._source is None:
             self._ask_for_reset()
-        elif self._reading_paused or self._input is Input.ENDED:
-            self._look_after(LOOK_FOR_END_S)
+        else:
+            if seen & select.POLLRDHUP and self._asked_for_reset and not self._stays:
+                self._stays = True
+                self._is_in_doubt = False
+                self._front.handler.client_stays(self)
+            if self._reading_paused or self._input is Input.ENDED:
+                self._look_after(LOOK_FOR_END_S)
 
     def _poll(self, events: int) -> int:
         assert self._transport is not None
@@ -522,9 +546,11 @@
         if full:
             self._paused_at = now
             self._transport.pause_reading()
-            self._look_after(LOOK_FOR_END_S)
+            if not self._is_in_doubt:
+                self._look_after(LOOK_FOR_END_S)
         else:
-            self._stop_looking()
+            if not self._is_in_doubt:
+                self._stop_looking()
             # The caller could not go on: none of this time was its own.
             for name in ("_began_at", "_body_at", "_heard_at"):
                 setattr(self, name, getattr(self, name) + now - self._paused_at)
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -27,7 +27,7 @@
 )
 from cometdoor.lifecycle import LifeCycle
 from cometdoor.listfile import read_list
-from cometdoor.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source
+from cometdoor.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source, Start
 from jasperhall import Balancer, api
 from jasperhall.api import ListKind, Outcome, State
 
@@ -81,9 +81,12 @@
         self.exchange: Exchange | None = None
         self.timer: Timer | None = None
 
-    def may_start(self) -> bool:
-        """The clock is read at the send: a connection, or the loop, may come round late."""
-        return now_ms() < min(self.starts_until, self.until)
+    def may_start(self) -> Start:
+        """The clock is read at the send, and the client's socket: a connection, or the loop, may come round late."""
+        client = self.request.client
+        if client is None or self.request.owner is not None or now_ms() >= min(self.starts_until, self.until):
+            return Start.NEVER
+        return Start.NOW if client.is_waiting() else Start.LATER
 
     def waits(self) -> bool:
         return not self.ended and self.exchange is not None and self.exchange.waits()
@@ -360,6 +363,15 @@
                 self._end_attempt(request.owner, Outcome.CANCELLED)
             self._clean_up(request)
 
+    def client_stays(self, connection: ClientConnection) -> None:
+        """It only ended its sending: what was held until that was known starts."""
+        request = self._by_client.get(connection)
+        if request is None:
+            return
+        for attempt in request.attempts:
+            if attempt.exchange is not None and attempt.waits():
+                attempt.exchange.resume_start()
+
     def _end_unbegun(self, request: LiveRequest) -> None:
         """Nothing is owed to its client any more: what waits for its connection is never written, also where an
         attempt that has begun may not be called off."""
--- a/cometdoor/upstream.py
+++ b/cometdoor/upstream.py
@@ -12,6 +12,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol, cast
 
 import httptools
@@ -47,6 +48,14 @@
     def resume(self) -> None: ...
 
 
+class Start(Enum):
+    """Whether the first byte of an attempt may leave."""
+
+    NOW = "now"
+    LATER = "later"  # it is held on its connection until `Exchange.resume_start`
+    NEVER = "never"
+
+
 Done = Callable[[Outcome, Answer | None], None]  # no answer with OK: it went to the sink, and is whole
 # A long answer begins: its headers, its length if that is told. Without a sink nobody wants it.
 Begun = Callable[[list[tuple[bytes, bytes]], int | None, Source], Sink | None]
@@ -88,7 +97,7 @@
     __slots__ = ("begun", "body", "connection", "done", "may_start", "payload")
 
     def __init__(self, payload: Callable[[], bytes], done: Done, begun: Begun = lambda *_: None,
-                 body: Inflow | None = None, may_start: Callable[[], bool] = lambda: True) -> None:
+                 body: Inflow | None = None, may_start: Callable[[], Start] = lambda: Start.NOW) -> None:
         self.payload = payload  # made when it is written: it says how much time is left then
         self.done = done
         self.begun = begun
@@ -100,9 +109,14 @@
         return self.connection is not None and self.connection.is_written()
 
     def waits(self) -> bool:
-        """No byte of it has left: its connection is still coming up."""
+        """No byte of it has left: its connection is still coming up, or it is held."""
         return self.connection is not None and not self.connection.has_begun()
 
+    def resume_start(self) -> None:
+        """Ask again whether one that is held may start."""
+        if self.connection is not None:
+            self.connection.resume_start()
+
     def abort(self) -> None:
         """Close the connection: the backend sees that nobody waits, and no late answer can be mixed up."""
         connection, self.connection = self.connection, None
@@ -163,7 +177,13 @@
         self._transport.set_write_buffer_limits(high=0)
         if self.closed or self.exchange is None:
             self._transport.abort()
-        elif self.has_unread():
+        else:
+            self.resume_start()
+
+    def resume_start(self) -> None:
+        if self._transport is None or self._wrote or self.closed:
+            return
+        if self.has_unread():
             self._finish(Outcome.CONNECT_FAILED)  # an answer to nothing: what it would say to a request is not known
         else:
             self._write()
@@ -190,7 +210,10 @@
     def _write(self) -> None:
         assert self._transport is not None and self.exchange is not None
         exchange = self.exchange
-        if not exchange.may_start():
+        start = exchange.may_start()
+        if start is Start.LATER:
+            return
+        if start is Start.NEVER:
             self._finish(Outcome.CONNECT_FAILED)
             return
         self._wrote = True
--- /dev/null
+++ b/tests/test_late_loop.py
@@ -0,0 +1,238 @@
+"""A loop that comes round late: what lies unread in a socket when an attempt is about to begin is heeded first."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+from collections.abc import Callable
+from unittest import mock
+
+import pytest
+
+from cometdoor.upstream import Connection
+from jasperhall import api
+from tests.rig import FakeServer, Message, Rig, Script, first_to, member, run
+from tests.test_gone import final, nothing_begins, noticed
+
+HELD_S = 0.3  # so long the loop is held: longer than any rule on time allows
+
+
+def hold_the_loop() -> None:
+    time.sleep(HELD_S)
+
+
+def request_text(trace: str = "t0", kind: str = "read") -> bytes:
+    method, more = ("GET", "") if kind == "read" else ("POST", "Content-Length: 0\r\n")
+    return (f"{method} /{kind}/1 HTTP/1.1\r\nX-Trace-Id: {trace}\r\nX-Qos: {kind}\r\nX-Expires-In: 9\r\n"
+            f"{more}\r\n").encode()
+
+
+def close(client: socket.socket) -> None:
+    client.close()
+
+
+def reset(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+WAYS = pytest.mark.parametrize("leave", [close, reset])
+
+
+def connect(rig: Rig) -> socket.socket:
+    """A client beside the loop: what it does has reached the proxy's machine when its call returns."""
+    return socket.create_connection(rig.front.address())
+
+
+async def accepted(rig: Rig, count: int = 1) -> None:
+    while len(rig.front.connections) < count:
+        await asyncio.sleep(0)
+
+
+@WAYS
+@pytest.mark.parametrize("is_accepted", [True, False])
+def test_a_request_that_is_read_after_its_client_has_left_is_not_sent_on(leave: Callable[[socket.socket], None],
+                                                                        is_accepted: bool) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            client = connect(rig)
+            if is_accepted:
+                await accepted(rig)
+            client.sendall(request_text())
+            leave(client)
+            hold_the_loop()
+            await nothing_begins(rig, backend)
+            await noticed(rig)
+            assert not rig.proxy._requests
+
+    run(test)
+
+
+def test_a_kept_connection_to_a_server_is_not_written_for_a_client_that_has_left() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            first = await rig.caller()
+            first.ask()
+            (await backend.next()).reply(200, b"x")
+            await first.answer()
+            await asyncio.sleep(0.03)  # the kept connection rests
+            client = connect(rig)
+            await accepted(rig, 2)
+            client.sendall(request_text())
+            client.close()
+            hold_the_loop()
+            await nothing_begins(rig, backend)
+            await noticed(rig)
+
+    run(test)
+
+
+@WAYS
+def test_a_connection_that_comes_up_after_its_client_has_left_is_not_written(
+        leave: Callable[[socket.socket], None]) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        up = asyncio.Event()
+        open_connection = Connection._connect
+
+        async def late(connection: Connection) -> None:
+            await up.wait()
+            await open_connection(connection)
+        rig = await Rig().start(member("s1", backend.address), limits={"connect_timeout_ms": 9000.0})
+        with mock.patch.object(Connection, "_connect", late):
+            client = connect(rig)
+            client.sendall(request_text(kind="pay"))
+            while not rig.proxy._requests:
+                await asyncio.sleep(0)
+            up.set()
+            leave(client)
+            hold_the_loop()
+            await noticed(rig)
+        await nothing_begins(rig, backend)
+        assert not rig.proxy._requests
+
+    run(test)
+
+
+@WAYS
+def test_a_further_attempt_does_not_begin_after_its_client_has_left(leave: Callable[[socket.socket], None]) -> None:
+    """The failure of the first one is taken before the client's end."""
+    async def test() -> None:
+        first, second = await FakeServer().start(), await FakeServer().start()
+        with Script().in_place() as script:
+
+            def react(event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.RequestArrived):
+                    return [api.Send(event.request, "s1")]
+                if isinstance(event, api.AttemptEnded) and not event.final:
+                    return [api.Send(event.request, "s2")]
+                return []
+            script.react = react
+            rig = await Rig().start(member("s1", first.address), member("s2", second.address))
+            client = connect(rig)
+            client.sendall(request_text())
+            call = await first.next()
+            call.reset()
+            leave(client)
+            hold_the_loop()
+            await noticed(rig)
+            other = await rig.caller()
+            other.ask(trace="barrier")
+            (await first.next()).reply(500)
+            call = await second.next()
+            assert call.message.headers["x-trace-id"] == "barrier"
+            call.reply(200)
+            assert (await other.answer()).status == 200
+
+    run(test)
+
+
+def test_one_that_stayed_after_its_half_close_and_then_reset_has_no_further_attempt() -> None:
+    async def test() -> None:
+        first, second = await FakeServer().start(), await FakeServer().start()
+        with Script().in_place() as script:
+
+            def react(event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.RequestArrived):
+                    return [api.Send(event.request, "s1")]
+                if isinstance(event, api.AttemptEnded) and not event.final:
+                    return [api.Send(event.request, "s2")]
+                return []
+            script.react = react
+            rig = await Rig().start(member("s1", first.address), member("s2", second.address))
+            client = connect(rig)
+            client.sendall(request_text())
+            client.shutdown(socket.SHUT_WR)
+            call = await first.next()
+            call.reset()
+            reset(client)
+            hold_the_loop()
+            await noticed(rig)
+            await asyncio.sleep(0.05)
+            assert second.calls.empty()
+
+    run(test)
+
+
+@pytest.mark.parametrize("ahead", [0, 2, 6])
+@pytest.mark.parametrize("held", [True, False])
+def test_one_that_ended_its_sending_right_behind_its_requests_gets_all_its_answers(ahead: int, held: bool) -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            client = connect(rig)
+            client.sendall(b"".join(request_text(f"t{number}") for number in range(1 + ahead)))
+            client.shutdown(socket.SHUT_WR)
+            if held:
+                hold_the_loop()
+            client.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=client)
+            for number in range(1 + ahead):
+                call = await backend.next()
+                assert call.message.headers["x-trace-id"] == f"t{number}"
+                call.reply(200, b"x")
+                message = await Message.read(reader)
+                while message.status == 100:
+                    message = await Message.read(reader)
+                assert message.status == 200
+            assert await reader.read() == b""
+            writer.close()
+
+    run(test)
+
+
+def test_a_half_close_seen_first_where_a_connection_comes_up_is_told_from_a_close() -> None:
+    """Its attempt is held while the client is asked, and starts when no reset has come."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        up = asyncio.Event()
+        open_connection = Connection._connect
+
+        async def late(connection: Connection) -> None:
+            await up.wait()
+            await open_connection(connection)
+        rig = await Rig().start(member("s1", backend.address), limits={"connect_timeout_ms": 9000.0})
+        with mock.patch.object(Connection, "_connect", late):
+            client = await rig.caller()
+            client.ask("pay", trace="t0")
+            while not rig.proxy._requests:
+                await asyncio.sleep(0)
+            client.writer.write_eof()
+            up.set()
+            hold_the_loop()
+            call = await backend.next()
+        assert call.message.headers["x-trace-id"] == "t0"
+        call.reply(200, b"x")
+        assert await final(client) == 200
+
+    run(test)
