Say whether news lies unread in the connection of a watch

Need: before an attempt begins the proxy has to know whether news of servers waits that a late loop has not come round to. `WatchConnection.has_unread` polls the socket, and is true too while a piece is being read: a later line of it may say more than the one in hand. `Discovery.has_unread` asks it of the present watch.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -137,6 +137,10 @@
         self._watch = WatchConnection(self, target, name, patience_s, silence_s, self._life)
         self._watch.open((host, port))
 
+    def has_unread(self) -> bool:
+        """News may lie in the watch's connection that the loop has not come round to."""
+        return self._watch is not None and self._watch.has_unread()
+
     def whole_list(self) -> dict[str, Any]:
         """As discovery itself would tell it."""
         return {"revision": self._revision, "complete": True, "members": list(self._members.values()),
--- a/cometdoor/watch.py
+++ b/cometdoor/watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import select
 from collections.abc import Iterator
 from typing import Any, Protocol, cast
 
@@ -100,6 +101,7 @@
         self._silent = False  # told to be, and not heard since
         self._parser = httptools.HttpResponseParser(self)
         self._objects = Objects()
+        self._is_reading = False
         self._transport: asyncio.Transport | None = None
         self._opening: asyncio.Task[None] | None = None
         self._ended = False
@@ -127,10 +129,13 @@
             self._transport.write(self._head)
 
     def data_received(self, data: bytes) -> None:
+        self._is_reading = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
             self.end(f"not understood: {problem}")
+        finally:
+            self._is_reading = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == LIFE.lower().encode():
@@ -167,6 +172,16 @@
     def connection_lost(self, problem: Exception | None) -> None:
         self.end(f"the connection broke: {problem}")
 
+    def has_unread(self) -> bool:
+        """Bytes have come that the loop has not come round to, or that are just being read."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        if self._is_reading:
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _heard(self) -> None:
         self._heard_at = self._owner.loop.time()
         self._patience_s = self._silence_s
