Read what lies in the watch's connection before an attempt begins

Need: nothing new may go to a server that drains 250 ms after it was told, and told is when discovery wrote it. A late loop takes a client's request, or a connection that came up, before the line that lies in the watch beside it, and the grace of what waits for a connection was counted from the reading, however long the line had lain there.

Change: `Proxy._may_start` holds an attempt while the watch has unread bytes and asks again in the loop's next turn, when they are read. The grace for attempts whose connection is coming up counts from the last moment at which nothing lay unread.

--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -157,6 +157,8 @@
         self._addresses: dict[str, Address] = {}
         self._started_at: dict[str, float] = {}
         self._ready: set[str] = set()
+        self._list_read_at = now_ms()  # no news of servers lay unread then
+        self._held: list[Attempt] = []  # until such news is read
         self._last_id = 0
         self._events: deque[api.Event] = deque()
         self._handling = self._started = False
@@ -290,13 +292,14 @@
     def _leaves(self, name: str) -> None:
         if name in self._ready:
             self._ready.remove(name)
-            grace_ms = LAST_START * self._config.stop_sending_ms
+            # The news may have lain unread for so long.
+            until = self._list_read_at + LAST_START * self._config.stop_sending_ms
             waiting = [attempt for request in self._requests.values() for attempt in request.attempts
                        if attempt.server == name and attempt.waits()]
             for attempt in waiting:
-                attempt.starts_until = min(attempt.starts_until, now_ms() + grace_ms)
+                attempt.starts_until = min(attempt.starts_until, until)
             if waiting:
-                self._loop.call_later(grace_ms / 1000.0, self._end_unsent, waiting)
+                self._loop.call_later(max(until - now_ms(), 0.0) / 1000.0, self._end_unsent, waiting)
 
     def _end_unsent(self, waiting: list[Attempt]) -> None:
         """A send counts from its first byte: one whose connection is still coming up never starts at a server that was
@@ -471,8 +474,9 @@
             lambda: self._payload(request.message, attempt.until),
             lambda outcome, answer: self._attempt_done(attempt, outcome, answer),
             lambda headers, length, source: self._answer_begins(attempt, headers, length, source),
-            request.message.inflow, attempt.may_start)
+            request.message.inflow, lambda: self._may_start(attempt))
         self._limit(attempt, until)
+        self._has_unread_news()  # what comes from now on finds the attempt waiting
         if not self._pool.send(action.server, address, attempt.exchange):
             log.warning("no descriptor is left for a connection to %s", action.server)
             self._end_attempt(attempt, Outcome.CONNECT_FAILED)
@@ -496,6 +500,27 @@
 
     # --- attempts ---
 
+    def _may_start(self, attempt: Attempt) -> Start:
+        """News of servers that lies unread counts as known: it is read before the first byte leaves."""
+        if not self._has_unread_news():
+            return attempt.may_start()
+        if not self._held:
+            self._loop.call_soon(self._resume_held)
+        self._held.append(attempt)
+        return Start.LATER
+
+    def _has_unread_news(self) -> bool:
+        if self._discovery.has_unread():
+            return True
+        self._list_read_at = now_ms()
+        return False
+
+    def _resume_held(self) -> None:
+        held, self._held = self._held, []
+        for attempt in held:
+            if attempt.exchange is not None and attempt.waits():
+                attempt.exchange.resume_start()
+
     def _timed_out(self, attempt: Attempt) -> None:
         # What was not written when the time was up has not run, and is never written.
         written = attempt.exchange is None or attempt.exchange.is_written()
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import struct
 import time
@@ -51,6 +52,14 @@
         await asyncio.sleep(0)
 
 
+def s1_then_s2(event: api.Event) -> list[api.Action]:
+    if isinstance(event, api.RequestArrived):
+        return [api.Send(event.request, "s1")]
+    if isinstance(event, api.AttemptEnded) and not event.final:
+        return [api.Send(event.request, "s2") if event.attempt == 0 else api.Fail(event.request)]
+    return []
+
+
 @WAYS
 @pytest.mark.parametrize("is_accepted", [True, False])
 def test_a_request_that_is_read_after_its_client_has_left_is_not_sent_on(leave: Callable[[socket.socket], None],
@@ -128,14 +137,7 @@
     async def test() -> None:
         first, second = await FakeServer().start(), await FakeServer().start()
         with Script().in_place() as script:
-
-            def react(event: api.Event) -> list[api.Action]:
-                if isinstance(event, api.RequestArrived):
-                    return [api.Send(event.request, "s1")]
-                if isinstance(event, api.AttemptEnded) and not event.final:
-                    return [api.Send(event.request, "s2")]
-                return []
-            script.react = react
+            script.react = s1_then_s2
             rig = await Rig().start(member("s1", first.address), member("s2", second.address))
             client = connect(rig)
             client.sendall(request_text())
@@ -159,14 +161,7 @@
     async def test() -> None:
         first, second = await FakeServer().start(), await FakeServer().start()
         with Script().in_place() as script:
-
-            def react(event: api.Event) -> list[api.Action]:
-                if isinstance(event, api.RequestArrived):
-                    return [api.Send(event.request, "s1")]
-                if isinstance(event, api.AttemptEnded) and not event.final:
-                    return [api.Send(event.request, "s2")]
-                return []
-            script.react = react
+            script.react = s1_then_s2
             rig = await Rig().start(member("s1", first.address), member("s2", second.address))
             client = connect(rig)
             client.sendall(request_text())
@@ -182,6 +177,111 @@
     run(test)
 
 
+# --- a drain that lies in the watch's connection ---
+
+
+@pytest.mark.parametrize("is_kept", [True, False])
+@pytest.mark.parametrize("phase", ["terminating", "terminated"])
+def test_a_request_read_before_the_drain_beside_it_is_not_sent_to_the_leaving_server(is_kept: bool,
+                                                                                    phase: str) -> None:
+    """It came first, and the loop came round to both after the grace was over."""
+    async def test() -> None:
+        discovery, leaving, staying = [await FakeServer().start() for _ in range(3)]
+        members = [member("s1", leaving.address), member("s2", staying.address)]
+        with Script().in_place() as script:
+            script.react = s1_then_s2
+            rig = await Rig().start(*members, discovery=discovery.address)
+            watch = await discovery.next()
+            watch.open_stream()
+            if is_kept:
+                first = await rig.caller()
+                first.ask()
+                (await leaving.next()).reply(200, b"x")
+                await first.answer()
+                await asyncio.sleep(0.03)  # the kept connection rests
+            client = connect(rig)
+            await accepted(rig, 1 + is_kept)
+            client.sendall(request_text())
+            watch.send_list(42, False, {**members[0], "phase": phase})
+            hold_the_loop()
+            (await staying.next()).reply(200, b"x")
+            assert leaving.calls.empty()
+            rig.proxy.stop()
+
+    run(test)
+
+
+def test_a_connection_that_comes_up_beside_the_drain_of_its_server_is_not_written() -> None:
+    """The grace counts from when the drain may have come, not from when it is read."""
+    async def test() -> None:
+        discovery, leaving, staying = [await FakeServer().start() for _ in range(3)]
+        members = [member("s1", leaving.address), member("s2", staying.address)]
+        up = asyncio.Event()
+        open_connection = Connection._connect
+
+        async def late(connection: Connection) -> None:
+            await up.wait()
+            await open_connection(connection)
+        with Script().in_place() as script, mock.patch.object(Connection, "_connect", late):
+            script.react = s1_then_s2
+            rig = await Rig().start(*members, discovery=discovery.address, limits={"connect_timeout_ms": 9000.0})
+            watch = await discovery.next()
+            watch.open_stream()
+            client = connect(rig)
+            client.sendall(request_text())
+            while not rig.proxy._requests:
+                await asyncio.sleep(0)
+            up.set()
+            watch.send_list(42, False, {**members[0], "phase": "terminating"})
+            hold_the_loop()
+            (await staying.next()).reply(200, b"x")
+            assert leaving.calls.empty()
+            rig.proxy.stop()
+
+    run(test)
+
+
+def test_what_the_first_line_sets_free_is_not_sent_to_a_server_that_the_second_announces_as_leaving() -> None:
+    """Both came at once."""
+    async def test() -> None:
+        discovery, leaving, staying = [await FakeServer().start() for _ in range(3)]
+        members = [member("s1", leaving.address), member("s2", staying.address)]
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(*members, discovery=discovery.address)
+            watch = await discovery.next()
+            watch.open_stream()
+            first = await rig.caller()
+            first.ask()
+            (await leaving.next()).reply(200, b"x")
+            await first.answer()
+            await asyncio.sleep(0.03)  # the kept connection rests
+            script.react = lambda event: []
+            waiting = await rig.caller()
+            waiting.ask()
+            while not rig.proxy._requests:
+                await asyncio.sleep(0)
+            (request,) = rig.proxy._requests
+
+            def react(event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.ListChanged) and event.servers[0].name == "s2":
+                    return [api.Send(request, "s1")]
+                return s1_then_s2(event)
+            script.react = react
+            lines = [json.dumps({"revision": revision, "complete": False, "members": [changed]}).encode() + b"\n"
+                     for revision, changed in ((42, members[1]), (43, {**members[0], "phase": "terminating"}))]
+            watch.chunk(b"".join(lines))
+            hold_the_loop()
+            (await staying.next()).reply(200, b"x")
+            assert leaving.calls.empty()
+            rig.proxy.stop()
+
+    run(test)
+
+
+# --- a half-close is no close ---
+
+
 @pytest.mark.parametrize("ahead", [0, 2, 6])
 @pytest.mark.parametrize("held", [True, False])
 def test_one_that_ended_its_sending_right_behind_its_requests_gets_all_its_answers(ahead: int, held: bool) -> None:
