Show the digest of the settings in force at the proxy's admin endpoint

Need: whoever renews a proxy's file and sends SIGHUP has to find out whether that file is in force or was refused, and not to assume it. Change: GET /api/configuration answers process, digest of the settings last accepted (without the list, whatever the order of keys), the file's own `version`, reloads since the start and why the last one was refused. Read only; no decision depends on it.

--- a/cometdoor/__main__.py
+++ b/cometdoor/__main__.py
@@ -15,7 +15,7 @@
 
 from cometdoor import control
 from cometdoor.config import BadConfig, NodeConfig, inherited_listener, load_config
-from cometdoor.control import Door, operators_calls
+from cometdoor.control import Configuration, Door, operators_calls
 from cometdoor.flow import Budget
 from cometdoor.frontend import Frontend, RequestReader
 from cometdoor.handover import Handover
@@ -42,20 +42,24 @@
 class Reload:
     """A file that can't be used must not end a proxy that runs well on the one before, nor change it."""
 
-    def __init__(self, config: NodeConfig, proxy: Proxy, front: Frontend) -> None:
+    def __init__(self, config: NodeConfig, proxy: Proxy, front: Frontend,
+                 shown: Configuration | None = None) -> None:
         self.config = config
         self._proxy = proxy
         self._front = front
+        self._shown = shown or Configuration.of(config.raw)
 
     def __call__(self) -> None:
         try:
             config = load_config(now=self.config)
         except BadConfig as problem:
             log.error("the configuration is kept as it was: %s", problem)
+            self._shown.turned_down(str(problem))
             return
         self.config = config
         self._front.reader = RequestReader(config)
         self._proxy.reconfigure(config)
+        self._shown.taken(config.raw)
         log.info("new settings are in force: classes %s; attempts %d; discovery %s",
                  ", ".join(config.classes), config.settings.max_attempts,
                  ", ".join(f"{host}:{port}" for host, port in config.discovery))
@@ -143,7 +147,8 @@
                 early: EarlyReload) -> None:
     loop = asyncio.get_running_loop()
     life = LifeCycle()
-    door = Door(loop, operators_calls(life))
+    shown = Configuration.of(config.raw)
+    door = Door(loop, operators_calls(life, shown))
     if config.control:
         await door.listen(*config.control)
     handover, told = None, None
@@ -156,7 +161,7 @@
     budget = Budget(config.memory_mb)
     proxy = Proxy(config, loop, descriptors, budget, life, told)
     front = Frontend(loop, RequestReader(config), descriptors, budget, proxy, life)
-    reload = Reload(config, proxy, front)
+    reload = Reload(config, proxy, front, shown)
     loop.add_signal_handler(signal.SIGHUP, reload)
     Evacuation(loop, front, life)
     if handover is not None:
--- a/cometdoor/control.py
+++ b/cometdoor/control.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import hashlib
+import os
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import cast
+from typing import Any, cast
 
 import httptools
+import orjson
 
 from cometdoor.config import Address
 from cometdoor.lifecycle import LifeCycle
@@ -30,7 +33,39 @@
     run: Callable[[], tuple[int, str]]
 
 
-def operators_calls(life: LifeCycle) -> dict[bytes, Call]:
+def settings_digest(raw: Mapping[str, Any]) -> str:
+    """Of a configuration file's object, whatever the order of its keys. The list of backends is no part of it."""
+    settings = {name: value for name, value in raw.items() if name != "known"}
+    return hashlib.sha256(orjson.dumps(settings, option=orjson.OPT_SORT_KEYS)).hexdigest()
+
+
+@dataclass
+class Configuration:
+    """What the admin endpoint says of the settings in force, and what became of the last reload."""
+
+    digest: str
+    version: Any  # as the file names it under `version`, if it does
+    reloads: int = 0  # since the start, taken or refused
+    refused: str | None = None  # why the last reload was; None where it was taken
+
+    @classmethod
+    def of(cls, raw: Mapping[str, Any]) -> Configuration:
+        return cls(settings_digest(raw), raw.get("version"))
+
+    def taken(self, raw: Mapping[str, Any]) -> None:
+        self.reloads += 1
+        self.digest, self.version, self.refused = settings_digest(raw), raw.get("version"), None
+
+    def turned_down(self, reason: str) -> None:
+        self.reloads += 1
+        self.refused = reason
+
+    def text(self) -> str:
+        return orjson.dumps({"pid": os.getpid(), "digest": self.digest, "version": self.version,
+                             "reloads": self.reloads, "refused": self.refused}).decode()
+
+
+def operators_calls(life: LifeCycle, configuration: Configuration | None = None) -> dict[bytes, Call]:
     def ready() -> tuple[int, str]:
         return (200 if life.takes_clients() else 503), life.phase.value
 
@@ -41,9 +76,12 @@
 
         return run
 
-    return {b"/api/ready": Call(b"GET", ready),
-            b"/api/evacuate": Call(b"POST", order(life.evacuate)),
-            b"/api/rejoin": Call(b"POST", order(life.rejoin))}
+    calls = {b"/api/ready": Call(b"GET", ready),
+             b"/api/evacuate": Call(b"POST", order(life.evacuate)),
+             b"/api/rejoin": Call(b"POST", order(life.rejoin))}
+    if configuration is not None:
+        calls[b"/api/configuration"] = Call(b"GET", lambda: (200, configuration.text()))
+    return calls
 
 
 class Caller(asyncio.Protocol):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -15,7 +15,7 @@
 
 from cometdoor import control
 from cometdoor.__main__ import Evacuation
-from cometdoor.control import Door, operators_calls
+from cometdoor.control import Configuration, Door, operators_calls, settings_digest
 from cometdoor.lifecycle import LifeCycle, Phase
 from tests.rig import Caller, FakeServer, Message, Rig, make_config, member, run, started
 from tests.test_process import ROOT, free_port, until_serving
@@ -260,3 +260,49 @@
             assert await new.wait() == 0
 
     run(test)
+
+
+def test_a_digest_is_of_the_settings_whatever_their_order_and_without_the_list() -> None:
+    one = {"settings": {"a": 1, "b": 2.5}, "seed": 3, "known": {"revision": 1}}
+    assert settings_digest(one) == settings_digest({"seed": 3, "settings": {"b": 2.5, "a": 1}})
+    assert settings_digest(one) != settings_digest({"seed": 3, "settings": {"b": 2.5, "a": 2}})
+
+
+def test_the_admin_endpoint_shows_the_settings_in_force_and_why_others_were_refused(tmp_path: Path) -> None:
+    async def test() -> None:
+        control_at = ("127.0.0.1", free_port())
+        config = {**make_config(f"127.0.0.1:{free_port()}", "127.0.0.1:1"), "control": "{}:{}".format(*control_at),
+                  "version": {"number": 1}}
+        process = await launch(config, tmp_path)
+        await until_serving(process)
+
+        async def shown() -> dict[str, object]:
+            answer = await call(control_at, "GET /api/configuration")
+            assert answer.status == 200
+            return dict(json.loads(answer.body))
+
+        async def after(reloads: int) -> dict[str, object]:
+            while (now := await shown())["reloads"] != reloads:
+                await asyncio.sleep(0.01)
+            return now
+
+        assert await shown() == {"pid": process.pid, "digest": settings_digest(config), "version": {"number": 1},
+                                 "reloads": 0, "refused": None}
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**config, "seed": "nonsense"}))
+        process.send_signal(signal.SIGHUP)
+        refused = await after(1)
+        assert (refused["digest"], refused["version"]) == (settings_digest(config), {"number": 1})
+        assert str(path) in str(refused["refused"])
+        newer = {**config, "version": {"number": 2}}
+        path.write_text(json.dumps(newer))
+        process.send_signal(signal.SIGHUP)
+        assert await after(2) == {"pid": process.pid, "digest": settings_digest(newer), "version": {"number": 2},
+                                  "reloads": 2, "refused": None}
+        assert (await call(control_at, "POST /api/configuration", "Content-Length: 0")).status == 405
+
+    run(test)
+
+
+def test_a_file_without_a_version_shows_none() -> None:
+    assert json.loads(Configuration.of({"seed": 1}).text())["version"] is None
