Add the pure core of configuration agents: versions, trials, proven files

Need: 900 proxies get their configuration by hand and SIGHUP; nothing spreads it, confirms it or takes it back. Change: mastlift/configuration: versions ordered by the store's history and number, checked by the proxy's own rules; an agent's state machine that writes, signals and asks until the proxy shows the file's digest, puts the last proven file back after a refusal or a silent proxy, merges bursts, and never goes back; its two files on disk with checksums. tests/test_layers.py gets the new package in a layer of its own, above discovery and below release.

--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,394 @@
+"""Configuration versions, the agent's state machine, and what it keeps on disk. No process, no clock."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+import msgspec
+import orjson
+import pytest
+
+from mastlift.configuration import core as a
+from mastlift.configuration.saved import PROVEN_FILE, TARGET_FILE, SavedFile, load_saved, save_proven, save_target
+from mastlift.configuration.versions import (
+    INSTALLED,
+    VersionId,
+    check_content,
+    decode_version,
+    encode_version,
+    make_version,
+    render,
+    rendered_version,
+)
+from mastlift.lab.fleet import SETTINGS
+from mastlift.lab.simdisk import SimDisk
+from mastlift.settings import BadSettings
+
+BASE = {"name": "p1", "listen": "127.0.0.1:7", "seed": 3, "known": {"revision": 1},
+        "settings": {"position": 2, "zone": 1}}
+CONTENT: dict[str, Any] = {"settings": SETTINGS, "discovery": "127.0.0.1:1"}
+
+
+def content(**settings: Any) -> bytes:
+    changed = copy.deepcopy(CONTENT)
+    for name, value in settings.items():
+        owner, _, key = name.rpartition("__")
+        (changed["settings"][owner] if owner else changed["settings"])[key] = value
+    return orjson.dumps(changed)
+
+
+def candidate(number: int, history: int = 1) -> a.Candidate:
+    return a.Candidate(VersionId(history, number), f"d{history}.{number}")
+
+
+class Machine:
+    """A proxy, its file and its agent's core; each step is done at once unless the test says otherwise."""
+
+    def __init__(self, **saved: a.Candidate) -> None:
+        self.core = a.AgentCore(**saved)  # type: ignore[arg-type]
+        self.now = 0.0
+        self.file = "installed"
+        self.file_id: VersionId | None = None
+        self.in_force: str = "installed"
+        self.in_force_id: VersionId | None = None
+        self.pid, self.reloads, self.refused = 100, 0, ""
+        self.up = True
+        self.refuses: set[str] = set()
+        self.writes_fail = self.deaf = False
+        self.done: list[a.Action] = []
+
+    def learn(self, one: a.Candidate) -> None:
+        self.feed(a.VersionLearned(one))
+
+    def feed(self, event: a.Event) -> None:
+        for action in self.core.handle(event, self.now):
+            self.done.append(action)
+            if (answer := self.answer(action)) is not None:
+                self.feed(answer)
+
+    def reading(self) -> a.Reading:
+        return a.Reading(self.pid, self.in_force, self.in_force_id, self.reloads, self.refused)
+
+    def answer(self, action: a.Action) -> a.Event | None:
+        match action:
+            case a.WriteFile(one):
+                if self.writes_fail:
+                    return a.FileFailed(one, "no space left")
+                self.file, self.file_id = one.digest, one.id
+                return a.FileWritten(one)
+            case a.SendSignal():
+                if not self.up:
+                    return a.SignalFailed("nobody is there")
+                before = self.reading()
+                self.signal()
+                return a.SignalSent(before)
+            case a.AskProxy():
+                return a.ProxyAnswered(self.reading()) if self.up else a.ProxySilent("connection refused")
+            case a.LookAtFile():
+                return a.FileSeen(self.file, self.file_id)
+        return None
+
+    def signal(self) -> None:
+        if self.deaf:
+            return
+        self.reloads += 1
+        if self.file in self.refuses:
+            self.refused = f"{self.file} is no good"
+        else:
+            self.refused, self.in_force, self.in_force_id = "", self.file, self.file_id
+
+    def restart(self) -> None:
+        self.up, self.pid, self.reloads, self.refused = True, self.pid + 1, 0, ""
+        assert self.file not in self.refuses
+        self.in_force, self.in_force_id = self.file, self.file_id
+
+    def run(self, ms: float) -> None:
+        end = self.now + ms
+        while (due := max(self.now, self.core.next_tick(self.now))) < end:
+            self.now = due
+            self.feed(a.Tick())
+        self.now = end
+        self.feed(a.Tick())
+
+    def report(self) -> a.Report:
+        return self.core.report(self.now)
+
+    def trials(self) -> list[a.Candidate]:
+        """Of the writes, those that a signal followed."""
+        return [before.candidate for before, after in zip(self.done, self.done[1:], strict=False)
+                if isinstance(before, a.WriteFile) and isinstance(after, a.SendSignal)]
+
+
+def test_a_version_is_written_signalled_and_reported_only_when_the_proxy_shows_it() -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.deaf = True
+    machine.learn(candidate(1))
+    assert (machine.file, machine.report().condition, machine.report().in_force) == ("d1.1", "pending", INSTALLED)
+    machine.deaf = False
+    machine.signal()
+    machine.run(100)
+    report = machine.report()
+    assert (report.condition, report.in_force, report.pending) == ("in force", VersionId(1, 1), None)
+    assert report.since_ms > 0.0
+    assert any(isinstance(action, a.SaveTarget) for action in machine.done)
+    assert a.SaveProven(candidate(1)) in machine.done
+
+
+def test_bursts_are_merged_and_the_last_arrives() -> None:
+    machine = Machine()
+    machine.run(10)
+    for number in range(1, 101):
+        machine.learn(candidate(number))
+        machine.run(10)
+    machine.run(1500)
+    assert machine.in_force == "d1.100"
+    assert len(machine.trials()) <= 3
+    assert machine.report().condition == "in force"
+
+
+@pytest.mark.parametrize("older", [candidate(4), candidate(1), candidate(9, history=0)])
+def test_an_older_version_is_never_written_over_a_newer_one(older: a.Candidate) -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.learn(candidate(5))
+    machine.run(3000)
+    machine.learn(older)
+    machine.run(3000)
+    assert (machine.in_force, machine.file) == ("d1.5", "d1.5")
+    machine.learn(candidate(2, history=2))  # what is put after a restored backup
+    machine.run(3000)
+    assert machine.in_force == "d2.2"
+
+
+def test_an_agent_that_lost_its_disk_takes_the_file_for_the_floor() -> None:
+    machine = Machine()
+    machine.file, machine.file_id = machine.in_force, machine.in_force_id = "d1.7", VersionId(1, 7)
+    machine.learn(candidate(5))
+    machine.run(5000)
+    assert machine.in_force == "d1.7"
+    assert machine.report().condition == "ahead"
+    machine.learn(candidate(8))
+    machine.run(5000)
+    assert machine.in_force == "d1.8"
+
+
+def test_an_agent_without_memory_beside_a_silent_proxy_keeps_to_the_file_and_then_to_what_is_in_force() -> None:
+    machine = Machine()
+    machine.up, machine.file, machine.file_id = False, "d1.3", VersionId(1, 3)
+    machine.learn(candidate(5))
+    machine.run(5000)
+    assert machine.file == "d1.3"
+    machine.up, machine.in_force, machine.in_force_id = True, "d1.6", VersionId(1, 6)
+    machine.run(5000)
+    assert machine.in_force == "d1.6"  # 5 is older than what is in force
+    assert machine.report().condition == "ahead"
+
+
+def test_a_refused_version_leaves_the_former_in_force_and_in_the_file() -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.learn(candidate(1))
+    machine.run(3000)
+    machine.refuses.add("d1.2")
+    machine.learn(candidate(2))
+    machine.run(30_000)
+    report = machine.report()
+    assert (report.condition, report.reason) == ("refused", "d1.2 is no good")
+    assert (report.in_force, report.pending) == (VersionId(1, 1), VersionId(1, 2))
+    assert (machine.file, machine.in_force) == ("d1.1", "d1.1")
+    assert len(machine.trials()) == 2  # it is not tried again
+    machine.restart()
+    machine.run(3000)
+    assert machine.in_force == "d1.1"
+    machine.learn(candidate(3))
+    machine.run(3000)
+    assert machine.report().condition == "in force"
+
+
+def test_a_refused_first_version_leaves_the_file_that_was_installed() -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.refuses.add("d1.1")
+    machine.learn(candidate(1))
+    machine.run(5000)
+    assert (machine.file, machine.in_force) == ("installed", "installed")
+    assert machine.report().in_force == INSTALLED
+
+
+@pytest.mark.parametrize("killed_before", [a.WriteFile, a.SendSignal, a.SaveProven])
+def test_an_agent_killed_at_any_step_finishes_after_its_start(killed_before: type[Any]) -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.learn(candidate(1))
+    machine.run(3000)
+
+    class Killed(Exception):
+        pass
+
+    answer = machine.answer
+
+    def answer_or_die(action: a.Action) -> a.Event | None:
+        if isinstance(action, killed_before):
+            raise Killed
+        return answer(action)
+
+    machine.answer = answer_or_die  # type: ignore[method-assign]
+    with pytest.raises(Killed):
+        machine.learn(candidate(2))
+        machine.run(5000)
+    machine.answer = answer  # type: ignore[method-assign]
+    machine.core = a.AgentCore(target=candidate(2), proven=candidate(1))
+    machine.run(5000)
+    assert (machine.in_force, machine.file) == ("d1.2", "d1.2")
+    assert machine.report().condition == "in force"
+
+
+def test_a_proxy_that_ends_during_a_trial_finds_the_proven_file_at_its_start() -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.learn(candidate(1))
+    machine.run(3000)
+    machine.deaf = True
+    machine.learn(candidate(2))
+    assert machine.file == "d1.2"
+    machine.up = False
+    machine.run(5000)
+    assert machine.file == "d1.1"
+    assert machine.report().condition == "restarting"
+    machine.run(20_000)
+    assert machine.report().condition == "unreachable"
+    machine.deaf = False
+    machine.restart()
+    machine.run(5000)
+    assert machine.in_force == "d1.2"
+
+
+def test_a_proxy_that_does_not_act_on_the_signal_is_reported_and_signalled_again() -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.deaf = True
+    machine.learn(candidate(1))
+    machine.run(3000)
+    assert machine.report().condition == "failed"
+    assert "does not act on SIGHUP" in machine.report().reason
+    machine.deaf = False
+    machine.run(5000)
+    assert machine.report().condition == "in force"
+
+
+def test_a_file_edited_by_hand_is_counted_and_put_back() -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.learn(candidate(1))
+    machine.run(3000)
+    machine.file, machine.file_id = "by hand", None
+    machine.run(3000)
+    assert (machine.file, machine.report().hand_edits) == ("d1.1", 1)
+    machine.file = "by hand"
+    machine.signal()
+    machine.run(6000)
+    assert (machine.file, machine.in_force, machine.report().condition) == ("d1.1", "d1.1", "in force")
+
+
+def test_a_file_that_cannot_be_written_is_reported_and_tried_again() -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.writes_fail = True
+    machine.learn(candidate(1))
+    machine.run(3000)
+    assert (machine.report().condition, machine.in_force) == ("failed", "installed")
+    assert "no space left" in machine.report().reason
+    machine.writes_fail = False
+    machine.run(3000)
+    assert machine.report().condition == "in force"
+
+
+def test_a_changed_base_file_is_brought_in_force_under_the_same_version() -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.learn(candidate(1))
+    machine.run(3000)
+    machine.learn(a.Candidate(VersionId(1, 1), "d1.1 with another base"))
+    machine.run(3000)
+    assert machine.in_force == "d1.1 with another base"
+
+
+def test_a_new_machine_without_a_file_gets_one_before_its_proxy_starts() -> None:
+    machine = Machine()
+    machine.up, machine.file = False, ""
+    machine.learn(candidate(4))
+    machine.run(1000)
+    assert machine.file == "d1.4"
+    machine.restart()
+    machine.run(3000)
+    assert machine.report().in_force == VersionId(1, 4)
+
+
+# --- versions ---
+
+def test_versions_of_a_later_history_are_newer_whatever_their_number() -> None:
+    assert VersionId(1, 9) < VersionId(2, 1) < VersionId(2, 2)
+
+
+def test_a_stored_version_that_was_changed_is_not_read() -> None:
+    version = make_version("pay", VersionId(1, 1), CONTENT, 5)
+    assert decode_version(encode_version(version), "pay") == version
+    other = msgspec.structs.replace(version, content={**CONTENT, "discovery": "127.0.0.1:2"})
+    for data, service in ((encode_version(other), "pay"), (encode_version(version), "ship"), (b"{}", "pay")):
+        with pytest.raises(ValueError, match=r"checksum|belongs|no version"):
+            decode_version(data, service)
+
+
+def test_the_machines_own_keys_stay_and_each_version_has_a_digest_of_its_own() -> None:
+    one = render(BASE, make_version("pay", VersionId(1, 1), CONTENT, 5))
+    two = render(BASE, make_version("pay", VersionId(1, 2), CONTENT, 5))
+    raw = orjson.loads(one.data)
+    assert {name: raw[name] for name in ("name", "listen", "seed", "known")} == {
+        name: BASE[name] for name in ("name", "listen", "seed", "known")}
+    assert (raw["settings"]["position"], raw["settings"]["zone"]) == (2, 1)
+    assert raw["settings"]["lanes"] == SETTINGS["lanes"]
+    assert one.digest != two.digest
+    assert rendered_version(one.data) == (one.digest, VersionId(1, 1))
+
+
+@pytest.mark.parametrize(("data", "wanted"), [
+    (b"{", "it is no JSON"), (b"[]", "an object is expected"), (b"{}", "settings: an object is expected"),
+    (b'{"settings": {}, "listen": "x"}', "listen: only settings and discovery are distributed"),
+    (content(limits__try_limit=0), r"settings\.limits\.try_limit: 0 is below 1"),
+    (content(lanes=[]), r"settings\.lanes: no list of at least one class"),
+    (content(discovery="psychic"), r"settings\.discovery: 'psychic' is none of"),
+])
+def test_bad_content_is_named_by_file_key_and_expectation(data: bytes, wanted: str) -> None:
+    with pytest.raises(BadSettings, match=rf"^new\.json: .*{wanted}"):
+        check_content("new.json", data, None)
+
+
+def test_what_the_former_version_has_must_not_be_left_out() -> None:
+    former = make_version("pay", VersionId(1, 4), CONTENT, 5)
+    less = copy.deepcopy(CONTENT)
+    del less["settings"]["over_share_worth"]
+    with pytest.raises(BadSettings, match=r"new\.json: settings\.over_share_worth: expected, since version 4 has it"):
+        check_content("new.json", orjson.dumps(less), former)
+    assert check_content("new.json", content(), former) == CONTENT
+
+
+# --- on disk ---
+
+def test_what_was_saved_is_read_back_and_damage_is_named() -> None:
+    disk = SimDisk()
+    version = make_version("pay", VersionId(1, 1), CONTENT, 5)
+    proven = SavedFile(VersionId(1, 1), "d", "{}")
+    assert load_saved(disk, "pay").target is None
+    save_target(disk, version)
+    save_proven(disk, proven)
+    saved = load_saved(disk, "pay")
+    assert (saved.target, saved.proven, saved.problems) == (version, proven, [])
+    for name in (TARGET_FILE, PROVEN_FILE):
+        whole = disk.files()[name]
+        disk.put(name, whole[:-3] + b"xyz")
+        damaged = load_saved(disk, "pay")
+        assert len(damaged.problems) == 1 and name in damaged.problems[0]
+        assert (damaged.target if name == TARGET_FILE else damaged.proven) is None
+        disk.put(name, whole)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,7 @@
 
 ROOT = Path(__file__).parent.parent
 LAYERS = [{"settings", "logs", "metrics", "processes"}, {"durable"}, {"store"}, {"consensus"}, {"keeper"},
-          {"duty", "discovery"}, {"release"}, {"lab"}, {"cli"}, {"__main__"}]
+          {"duty", "discovery"}, {"configuration"}, {"release"}, {"lab"}, {"cli"}, {"__main__"}]
 LEVEL = {room: level for level, rooms in enumerate(LAYERS) for room in rooms}
 APART = {("store", "durable"), ("store", "metrics"), ("store", "logs")}  # the state machine is pure
 
