Distribute configuration: keepers' reports, agent beside a proxy, config put/get/history/revert/status

Change: one transaction stores a version (newest whole under one watched key, 50 kept); an agent watches any keeper, keeps the newest and the file in force on disk, writes the proxy's file whole, signals the very process that answers at the admin endpoint, and asks until it shows the file's digest. Reports go into one keeper's memory by POST /v1/reports/TOPIC/NAME, never into the log; `status` asks each keeper and names laggards with reasons. A report's answer says when the key last changed, so that a watch that hangs at a cut-off keeper is found out.

--- a/mastlift/cli.py
+++ b/mastlift/cli.py
@@ -11,6 +11,7 @@
 import msgspec
 import typer
 
+from mastlift.configuration.cli import app as config_app
 from mastlift.discovery.cli import app as servers_app
 from mastlift.discovery.cli import serve_as
 from mastlift.duty.cli import app as duty_app
@@ -37,6 +38,7 @@
 app.add_typer(group_app, name="group")
 app.add_typer(duty_app, name="duty")
 app.add_typer(servers_app, name="servers")
+app.add_typer(config_app, name="config")
 app.add_typer(lab_app, name="lab")
 app.command("serve-as")(serve_as)
 
--- a/mastlift/keeper/client.py
+++ b/mastlift/keeper/client.py
@@ -190,6 +190,15 @@
     async def revoke(self, lease: int) -> dict[str, Any]:
         return await self._write("DELETE", f"/v1/leases/{lease}")
 
+    # --- reports ---
+
+    async def report(self, topic: str, name: str, body: bytes, key: str = "",
+                     deadline_s: float | None = None) -> dict[str, Any]:
+        """Tell one keeper, into its memory. The answer has its `revision` and `life`, and when `key` last changed as
+        far as it knows."""
+        path = f"/v1/reports/{quote(topic, safe='')}/{quote(name, safe='')}"
+        return await self._call("POST", path, body, {"key": key or None}, deadline_s=deadline_s)
+
     # --- the whole ---
 
     async def backup(self, begin: Callable[[int, str], Callable[[bytes], None]]) -> int:
--- a/mastlift/keeper/http.py
+++ b/mastlift/keeper/http.py
@@ -19,7 +19,8 @@
 from mastlift.keeper import wire
 from mastlift.keeper.grouped import Grouped, Refused
 from mastlift.keeper.peers import PATH, READ_INDEX, address_of
-from mastlift.keeper.service import Service, Stopping, TooMany
+from mastlift.keeper.reports import MOST_BYTES, ReportTable
+from mastlift.keeper.service import Service, Stopping, TooMany, now_ms
 from mastlift.keeper.wire import INDEX, LIFE, NUMBER, RECEIVED, SESSION, BadCall
 from mastlift.metrics import Metrics
 from mastlift.store import commands as c
@@ -53,6 +54,8 @@
         self.waits = metrics.waits("call", "How long calls took", "call")
         self.watches = metrics.gauge("watches", "Watches that are open")
         self.open_watches = 0
+        self.reports = ReportTable()
+        metrics.gauge("reports", "Reports of agents that are kept").set_function(lambda: len(self.reports))
         self._http: ClientSession | None = None
 
     def application(self) -> web.Application:
@@ -68,6 +71,8 @@
                 ("POST", "/v1/renew", self.renew_all),
                 ("POST", "/v1/leases/{lease}/renew", self.renew), ("DELETE", "/v1/leases/{lease}", self.revoke),
                 ("GET", "/v1/changes", self.changes), ("GET", "/v1/backup", self.backup),
+                ("POST", "/v1/reports/{topic}/{name}", self.take_report),
+                ("GET", "/v1/reports/{topic}", self.show_reports),
                 ("GET", "/up", self.up), ("GET", "/metrics", self.show_metrics),
                 ("GET", "/v1/status", self.status), ("POST", PATH, self.peer), ("GET", READ_INDEX, self.read_index),
                 ("GET", "/v1/group", self.group_status),
@@ -396,6 +401,29 @@
         await response.write(bytes(4))
         return response
 
+    # --- reports of agents ---
+
+    async def take_report(self, request: web.Request) -> web.Response:
+        """Into this keeper's memory alone. The answer says how far it is, and with `key` when that last changed, so
+        that an agent whose watch hangs finds out."""
+        self._only(request, "key")
+        if self.service.stopping:
+            raise Stopping("the keeper is ending")
+        topic, name = (wire.check_key(request.match_info[what], self.service.settings.limits.key_bytes, what)
+                       for what in ("topic", "name"))
+        body = wire.check_value(await request.read(), MOST_BYTES, "body")
+        wire.decode(body, dict[str, Any])
+        self.reports.put(topic, name, body, now_ms())
+        entry = self.store.entries.get(request.query.get("key", ""))
+        return answer(200, {"revision": self.store.revision, "life": self.service.life,
+                            "changed": entry.changed if entry else 0})
+
+    async def show_reports(self, request: web.Request) -> web.Response:
+        """What this keeper has heard itself; the others have to be asked, too."""
+        self._only(request)
+        reports = self.reports.of(request.match_info["topic"], now_ms())
+        return answer(200, {"revision": self.store.revision, "reports": reports})
+
     # --- about this keeper ---
 
     async def up(self, request: web.Request) -> web.Response:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,6 +10,7 @@
 import pytest
 
 from mastlift.configuration import core as a
+from mastlift.configuration.operator import ServiceStatus, Where, gather
 from mastlift.configuration.saved import PROVEN_FILE, TARGET_FILE, SavedFile, load_saved, save_proven, save_target
 from mastlift.configuration.versions import (
     INSTALLED,
@@ -21,6 +22,7 @@
     render,
     rendered_version,
 )
+from mastlift.keeper.reports import FORGET_MS, ReportTable
 from mastlift.lab.fleet import SETTINGS
 from mastlift.lab.simdisk import SimDisk
 from mastlift.settings import BadSettings
@@ -374,6 +376,48 @@
     assert check_content("new.json", content(), former) == CONTENT
 
 
+# --- reports and status ---
+
+def test_a_report_table_keeps_the_last_of_each_name_and_forgets_the_longest_unheard() -> None:
+    table = ReportTable(most=2)
+    table.put("t", "a", b"1", 0.0)
+    table.put("t", "b", b"2", 5.0)
+    table.put("t", "a", b"3", 10.0)
+    table.put("u", "c", b"4", 10.0)
+    assert [(one.name, one.age_ms, bytes(one.report)) for one in table.of("t", 20.0)] == [("a", 10.0, b"3")]
+    assert len(table) == 2
+    assert table.of("u", 11.0 + FORGET_MS) == []
+    table.put("t", "a", b"5", 11.0 + FORGET_MS)
+    assert len(table) == 1
+
+
+def report(condition: a.Condition, number: int, reason: str = "", history: int = 1) -> dict[str, Any]:
+    one = a.Report(condition, VersionId(history, number), 5.0, None, reason)
+    return dict(msgspec.to_builtins(one))
+
+
+def test_a_status_takes_the_youngest_report_of_each_and_names_who_is_silent() -> None:
+    newest = make_version("pay", VersionId(1, 3), CONTENT, 5)
+    told: dict[str, dict[str, Any]] = {
+        "k1": {"reports": [{"name": "a", "age_ms": 900.0, "report": report(a.Condition.PENDING, 2)},
+                           {"name": "b", "age_ms": 50.0, "report": report(a.Condition.REFUSED, 2, "no good")},
+                           {"name": "e", "age_ms": 50.0, "report": report(a.Condition.IN_FORCE, 9, history=2)},
+                           {"name": "f", "age_ms": 50.0, "report": {"condition": "glad"}}]},
+        "k2": {"reports": [{"name": "a", "age_ms": 100.0, "report": report(a.Condition.IN_FORCE, 3)},
+                           {"name": "c", "age_ms": 10.0, "report": report(a.Condition.IN_FORCE, 2)},
+                           {"name": "d", "age_ms": 99_000.0, "report": report(a.Condition.IN_FORCE, 3)}]},
+        "k3": {"error": "no answer"}}
+    seen = ServiceStatus("pay", newest, gather(told, ["a", "g"], newest), ["k3"])
+    assert {one.name: one.where for one in seen.proxies} == {
+        "a": Where.IN_FORCE, "b": Where.REFUSED, "c": Where.PENDING, "d": Where.UNKNOWN, "e": Where.AHEAD,
+        "f": Where.UNKNOWN, "g": Where.UNKNOWN}
+    reasons = {one.name: one.reason for one in seen.laggards}
+    assert reasons["b"] == "no good" and reasons["c"] == "it has version 2" and "no agent" in reasons["g"]
+    assert "has not reported for 99 s" in reasons["d"]
+    assert len(seen.have_it) == 1 and not seen.is_everywhere
+    assert not ServiceStatus("pay", newest).is_everywhere  # nobody has reported
+
+
 # --- on disk ---
 
 def test_what_was_saved_is_read_back_and_damage_is_named() -> None:
--- /dev/null
+++ b/tests/test_configuration_processes.py
@@ -0,0 +1,282 @@
+"""Configuration among processes: keepers, real proxies, an agent beside each, and faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import shutil
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+
+import aiohttp
+import orjson
+import pytest
+from typer.testing import CliRunner
+
+from mastlift.cli import app
+from mastlift.configuration import operator
+from mastlift.configuration.operator import Conflict, Where
+from mastlift.keeper.client import KeeperClient, Unreachable
+from mastlift.lab.chaos import ChaosGroup, running
+from mastlift.lab.configfleet import SERVICE, Machine, content, machines, until_status
+from mastlift.lab.faulty import Fault, Faults
+from mastlift.lab.processes import free_address, keeper, keeper_settings
+from mastlift.settings import BadSettings
+from tests.test_keeper import mastlift
+
+Wanted = Callable[[operator.ServiceStatus], bool]
+
+
+def run(test: Callable[[], Awaitable[None]], limit_s: float = 90.0) -> None:
+    async def limited() -> None:
+        await asyncio.wait_for(test(), limit_s)
+    asyncio.run(limited())
+
+
+def everywhere(number: int) -> Wanted:
+    return lambda seen: seen.is_everywhere and seen.newest is not None and seen.newest.id.number == number
+
+
+def one_is(where: Where) -> Wanted:
+    return lambda seen: any(one.where is where for one in seen.proxies)
+
+
+@contextlib.asynccontextmanager
+async def fleet_of(folder: Path, count: int) -> AsyncIterator[tuple[ChaosGroup, KeeperClient, list[Machine]]]:
+    """Three keepers and so many proxies with agents, and the first version in force at all of them."""
+    async with (running(folder / "keepers") as group, KeeperClient(group.keepers) as client,
+                machines(folder, group.keepers, count) as fleet):
+        await operator.put(client, SERVICE, "one.json", content(0.1))
+        await until_status(client, group.keepers, everywhere(1))
+        yield group, client, fleet
+
+
+def config(*arguments: object) -> tuple[int, str, str]:
+    """`mastlift config ...` in this process: exit code, output, errors."""
+    done = CliRunner().invoke(app, ["config", *map(str, arguments)])
+    return done.exit_code, done.stdout, done.stderr
+
+
+def test_the_command_line_puts_shows_reverts_and_tells_who_refused_and_why(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet_of(tmp_path, 2) as (group, client, fleet):
+            assert orjson.loads(fleet[0].file.read_bytes())["settings"]["over_share_worth"] == 0.1
+            await check_commands(tmp_path, group)
+            await check_refusal(group, client, fleet)
+    run(test)
+
+
+async def check_commands(folder: Path, group: ChaosGroup) -> None:
+    two, bad = folder / "two.json", folder / "bad.json"
+    two.write_bytes(content(0.2))
+    bad.write_bytes(content(0.2, lanes=[]))
+
+    async def call(*arguments: object) -> tuple[int, str, str]:
+        return await asyncio.to_thread(config, *arguments, "--keepers", ",".join(group.keepers))
+
+    assert (await call("put", SERVICE, two, "--expect", 1))[0] == 0
+    code, told, _ = await call("status", SERVICE, "--wait")
+    assert code == 0 and "version 2 is in force at 2 of 2 proxies" in told
+    code, _, error = await call("put", SERVICE, bad)
+    assert code == 2 and error.startswith(f"mastlift: {bad}: settings.lanes:") and error.count("\n") == 1
+    code, _, error = await call("put", SERVICE, two, "--expect", 1)
+    assert code == 1 and "version 2 stands, not 1" in error
+    assert (await call("put", SERVICE, folder / "none.json"))[0] == 2
+    code, told, _ = await call("revert", SERVICE, 1, "--json")
+    assert code == 0 and json.loads(told)["version"] == 3
+    assert (await call("status", SERVICE, "--wait"))[0] == 0
+    code, told, _ = await call("history", SERVICE)
+    assert code == 0 and told.splitlines()[0].split()[0] == "3" and "reverts to 1" in told
+    code, told, _ = await call("get", SERVICE, "--version", 3)
+    assert code == 0 and json.loads(told)["settings"]["over_share_worth"] == 0.1
+    assert (await call("get", "nobody"))[0] == 1
+    assert (await call("get", "No Name"))[0] == 2
+
+
+async def check_refusal(group: ChaosGroup, client: KeeperClient, fleet: list[Machine]) -> None:
+    """One machine's own part makes the next version one that its proxy refuses."""
+    with pytest.raises(Conflict, match="version 3 stands, not 0"):
+        await operator.put(client, SERVICE, "four.json", content(0.4), expect=0)
+    with pytest.raises(BadSettings, match=r"four\.json: settings\.group_size: 0 is below 1"):
+        await operator.put(client, SERVICE, "four.json", content(0.4, group_size=0))
+    own = fleet[1].folder / "base.json"
+    base = json.loads(own.read_text())
+    base["settings"]["position"] = 1
+    await fleet[1].kill_agent()
+    own.write_text(json.dumps(base))
+    await operator.put(client, SERVICE, "four.json", content(0.4))
+    await fleet[1].start_agent()
+    seen = await until_status(client, group.keepers,
+                              lambda seen: one_is(Where.REFUSED)(seen) and len(seen.have_it) == 1)
+    (laggard,) = seen.laggards
+    assert laggard.name == "p1" and "settings.position: 1 is not below 1" in laggard.reason
+    assert laggard.in_force is not None and laggard.in_force.number == 3
+    assert (await fleet[1].in_force(), fleet[1].in_file()) == (laggard.in_force, laggard.in_force)
+    code, told, _ = await asyncio.to_thread(config, "status", SERVICE, "--keepers", ",".join(group.keepers))
+    assert code == 1 and "version 4 is in force at 1 of 2 proxies" in told
+    assert "p1: refused; has version 3; " in told and "settings.position: 1 is not below 1" in told
+    base["settings"]["position"] = 0
+    own.write_text(json.dumps(base))  # put right on the machine: the same version is tried again
+    await until_status(client, group.keepers, everywhere(4))
+
+
+def test_the_leader_killed_right_after_a_put_and_a_keeper_that_is_cut_off_delay_no_version_for_good(
+        tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet_of(tmp_path, 2) as (group, client, fleet):
+            leader = await group.leader()
+            await operator.put(client, SERVICE, "two.json", content(0.2))
+            await group.places[leader].kill()
+            await asyncio.gather(*(one.until_in_force(2) for one in fleet))
+            await group.places[leader].start()
+            await group.settled(3)
+            cut = await watched(group)
+            others = [name for name in group.places if name != cut]
+            group.places[cut].relay.deaf_to |= set(others)
+            for name in others:
+                group.places[name].relay.deaf_to.add(cut)
+            async with KeeperClient([group.addresses[name] for name in others]) as rest:
+                await operator.put(rest, SERVICE, "three.json", content(0.3))
+                await asyncio.gather(*(one.until_in_force(3) for one in fleet))
+            group.heal()
+            await until_status(client, group.keepers, everywhere(3))
+    run(test)
+
+
+async def watched(group: ChaosGroup) -> str:
+    """A keeper that has a watch open."""
+    async with aiohttp.ClientSession() as http:
+        while True:
+            for name, address in group.addresses.items():
+                async with http.get(f"http://{address}/metrics") as response:
+                    if "mastlift_watches 0.0" not in await response.text():
+                        return name
+            await asyncio.sleep(0.1)
+
+
+def number_in(machine: Machine) -> int:
+    """Of the version that the file names; 0 for none."""
+    named = machine.in_file()
+    return named.number if named is not None else 0
+
+
+def test_an_agent_a_proxy_and_all_keepers_that_end_in_between_cost_no_version(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet_of(tmp_path, 1) as (group, client, (machine,)):
+            await check_agent_killed_between_file_and_signal(client, machine)
+            await check_proxy_restarted(group, client, machine)
+            await check_file_edited_by_hand(group, client, machine)
+            await check_all_keepers_gone(group, client, machine)
+    run(test)
+
+
+async def check_agent_killed_between_file_and_signal(client: KeeperClient, machine: Machine) -> None:
+    assert machine.proxy is not None
+    machine.proxy.send(signal.SIGSTOP)  # it does not answer, so that no signal is sent
+    await operator.put(client, SERVICE, "two.json", content(0.2))
+    while number_in(machine) != 2:
+        await asyncio.sleep(0.005)
+    await machine.kill_agent()
+    machine.proxy.send(signal.SIGCONT)
+    await machine.until_in_force(1)
+    assert number_in(machine) == 2
+    await machine.start_agent()
+    await machine.until_in_force(2)
+
+
+async def check_proxy_restarted(group: ChaosGroup, client: KeeperClient, machine: Machine) -> None:
+    await machine.end_proxy()
+    await until_status(client, group.keepers, one_is(Where.RESTARTING))
+    await operator.put(client, SERVICE, "three.json", content(0.3))
+    await asyncio.sleep(0.5)
+    assert number_in(machine) == 2  # a proxy that starts needs a file that is known to start it
+    await machine.start_proxy()
+    await machine.until_in_force(3)
+
+
+async def check_file_edited_by_hand(group: ChaosGroup, client: KeeperClient, machine: Machine) -> None:
+    machine.file.write_text('{"by hand": true}')
+    await until_status(client, group.keepers, lambda seen: seen.proxies[0].hand_edits == 1)
+    await until_status(client, group.keepers, everywhere(3))
+    assert number_in(machine) == 3
+
+
+async def check_all_keepers_gone(group: ChaosGroup, client: KeeperClient, machine: Machine) -> None:
+    for place in group.places.values():
+        await place.kill()
+    await machine.kill_agent()
+    await machine.end_proxy()
+    machine.file.write_text("{half a fi")
+    await machine.start_agent()
+    while not machine.file.read_text().startswith("{\n"):
+        await asyncio.sleep(0.01)
+    await machine.start_proxy()
+    await machine.until_in_force(3)
+    await asyncio.gather(*(place.start() for place in group.places.values()))
+    await operator.put(client, SERVICE, "four.json", content(0.4))
+    await until_status(client, group.keepers, everywhere(4))
+
+
+def test_a_restored_backup_takes_no_proxy_back_and_the_next_put_is_newer(tmp_path: Path) -> None:
+    async def test() -> None:
+        listen = free_address()
+        settings = keeper_settings(tmp_path / "keeper", listen)
+        data = tmp_path / "keeper" / "data"
+        async with KeeperClient([listen]) as client, machines(tmp_path, [listen], 1) as (machine,):
+            async with keeper(settings):
+                await operator.put(client, SERVICE, "one.json", content(0.1))
+                backup = await asyncio.to_thread(mastlift, "state", "backup", data, "--to", tmp_path / "backup")
+                assert backup.returncode == 0, backup.stderr
+                await operator.put(client, SERVICE, "two.json", content(0.2))
+                await machine.until_in_force(2)
+            shutil.rmtree(data)
+            restored = await asyncio.to_thread(mastlift, "state", "restore", data, "--from", tmp_path / "backup",
+                                               "--name", "a")
+            assert restored.returncode == 0, restored.stderr
+            async with keeper(settings):
+                seen = await until_status(client, [listen], one_is(Where.AHEAD))
+                assert seen.newest is not None and seen.newest.id.number == 1
+                assert (await machine.in_force() or seen.newest.id).number == 2
+                again = await operator.put(client, SERVICE, "three.json", content(0.3))
+                assert again.id.number == 2  # of a later history
+                await until_status(client, [listen], everywhere(2))
+                assert await machine.in_force() == again.id
+    run(test)
+
+
+def test_a_put_at_a_full_disk_fails_with_one_error_and_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        listen, folder = free_address(), tmp_path / "faults"
+        folder.mkdir()
+        faults = Faults(folder)
+        async with keeper(keeper_settings(tmp_path, listen), folder), KeeperClient([listen], 1.5) as client:
+            await operator.put(client, SERVICE, "one.json", content(0.1))
+            faults.set(Fault.FULL)
+            with pytest.raises(Unreachable, match=r"disk_full.*version 1 still stands, nothing was changed"):
+                await operator.put(client, SERVICE, "two.json", content(0.2))
+            faults.clear(Fault.FULL)
+            assert [one.id.number for one in await operator.history(client, SERVICE)] == [1]
+            assert (await operator.put(client, SERVICE, "two.json", content(0.2))).id.number == 2
+    run(test)
+
+
+@pytest.mark.parametrize(("line", "wanted"), [
+    ('control = "nowhere"', "agent.control: 'nowhere' is no address like"),
+    ('service = "A B"', "agent.service: 'A B' is no service's name"),
+    ('name = "a/b"', "agent.name: 'a/b' is no name"), ("keepers = []", "agent.keepers: Expected `array` of length"),
+    ('state = "nothing"', "nothing is no folder; make it first"),
+    ('file = "base.json"', "agent.file: it is the base file"), ('base = "none.json"', "none.json: No such file"),
+    ("colour = 1", "agent: Object contains unknown field `colour`")])
+def test_bad_settings_of_an_agent_are_one_error_that_names_file_and_key(line: str, wanted: str,
+                                                                        tmp_path: Path) -> None:
+    machine = Machine("p0", tmp_path, ["127.0.0.1:1"])
+    path = tmp_path / "agent.toml"
+    key = line.split(" = ")[0]
+    lines = [one for one in path.read_text().splitlines() if not one.startswith(f"{key} = ")]
+    path.write_text("\n".join([lines[0], line, *lines[1:]]))
+    code, _, error = config("agent", "--config", path)
+    assert code == 2 and error.count("\n") == 1
+    assert error.startswith(f"mastlift: {path}: ") and wanted in error
+    assert machine.in_file() is None
