Check configuration agents in simulated runs, each rule with mutations that are found

Need: rules on versions hold under kills within a write, machine crashes, lost memories, full disks, hand edits, restored backups and proxies that hang or refuse; a checker that was never seen to fail shows nothing. Change: lab/configsim.py plays the real core and files on the simulated disk; `lab check configuration`; twelve mutations. The runs found five faults in the core, mended here: names left unsynced by a killed agent, a version in force that an earlier life had not saved, a report before its file was kept, a proxy that stays down on the proven file, and files written since whose outcome was still open.

--- a/mastlift/configuration/agent.py
+++ b/mastlift/configuration/agent.py
@@ -19,7 +19,7 @@
 from mastlift.configuration import core as c
 from mastlift.configuration.endpoint import Proxy, ProxyUnavailable
 from mastlift.configuration.operator import topic_of
-from mastlift.configuration.saved import SavedFile, load_saved, save_proven, save_target
+from mastlift.configuration.saved import SavedFile, load_saved, make_names_durable, save_proven, save_target
 from mastlift.configuration.versions import Rendered, Version, current_key, decode_version, render, rendered_version
 from mastlift.durable.disk import Disk, DiskFailed, DiskFull, create_whole
 from mastlift.keeper.client import KeeperClient, Refused, Unreachable
@@ -95,7 +95,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._news = asyncio.Event()
         self._shown = c.Report(c.Condition.NO_VERSION)
-        self._unsaved: dict[type[c.Action], tuple[c.Action, str]] = {}
+        self._unsaved: c.Candidate | None = None
         self._learned_at = 0.0
         self._life, self._changed = "", 0
         self._watch_again = asyncio.Event()
@@ -104,6 +104,7 @@
 
     def _recover(self, timing: c.Timing) -> c.AgentCore:
         """From what the agent kept, so that a start needs no keeper."""
+        make_names_durable(self.place.state, self.place.files)
         saved, target, proven = load_saved(self.place.state, self.place.service), None, None
         for problem in saved.problems:
             self.log.warning("saved_file_unusable", reason=problem)
@@ -155,8 +156,9 @@
 
     def _forget(self) -> None:
         """Keep only the files that may still have to be written."""
+        core = self.core
         if len(self._rendered) > 3:
-            needed = {one.digest for one in (self.core.target, self.core.proven, self.core.trying) if one is not None}
+            needed = {one.digest for one in (core.target, core.proven, *core.unproven) if one is not None}
             self._rendered = {digest: one for digest, one in self._rendered.items() if digest in needed}
 
     async def _ask(self) -> None:
@@ -175,8 +177,10 @@
 
     async def _do(self, action: c.Action) -> c.Event | None:
         match action:
-            case c.SaveTarget() | c.SaveProven():
-                await self._save(action)
+            case c.SaveTarget(candidate):
+                await self._save_target(candidate)
+            case c.SaveProven(candidate):
+                return await self._save_proven(candidate)
             case c.WriteFile(candidate):
                 return await self._write(candidate)
             case c.SendSignal():
@@ -206,44 +210,52 @@
         self.metrics.signals.labels("sent").inc()
         return c.SignalSent(before)
 
-    async def _save(self, action: c.SaveTarget | c.SaveProven) -> None:
-        """What cannot be saved now is tried again with the next look at the file."""
-        try:
-            if isinstance(action, c.SaveTarget):
-                await self._save_target(action.candidate)
-            else:
-                await self._save_proven(action.candidate)
-            self._unsaved.pop(type(action), None)
-        except (DiskFull, DiskFailed, OSError, ValueError) as error:
-            self._unsaved[type(action)] = action, str(error)
-            self.log.warning("not_saved", reason=str(error), version=str(action.candidate.id))
-
     async def _save_target(self, candidate: c.Candidate) -> None:
+        """What cannot be saved now is tried again with the next look at the file."""
         version = self._version
-        if version is not None and version.id == candidate.id:  # else a newer one is about to be saved
+        if version is None or version.id != candidate.id:
+            return  # a newer one is about to be saved
+        try:
             await asyncio.to_thread(save_target, self.place.state, version)
+            self._unsaved = None
+        except (DiskFull, DiskFailed, OSError) as error:
+            self._unsaved = candidate
+            self.log.warning("newest_not_saved", reason=str(error), version=version.id.number)
+
+    async def _save_proven(self, candidate: c.Candidate) -> c.Event:
+        try:
+            one = await self._proven_file(candidate)
+            await asyncio.to_thread(save_proven, self.place.state, SavedFile(one.id, one.digest, one.data.decode()))
+        except (DiskFull, DiskFailed, OSError, ValueError) as error:
+            self.log.warning("version_in_force_not_saved", reason=str(error), version=candidate.id.number)
+            return c.ProvenNotSaved(candidate, str(error))
+        return c.ProvenSaved(candidate)
 
-    async def _save_proven(self, candidate: c.Candidate) -> None:
+    async def _proven_file(self, candidate: c.Candidate) -> Rendered:
+        """Raises ValueError, OSError for one that was found on the machine and is not there any more."""
         one = self._rendered.get(candidate.digest)
-        if one is None:  # it was found on the machine, not made here
+        if one is None:
             data = await asyncio.to_thread(self._read_file)
             if rendered_version(data)[0] != candidate.digest:
                 raise ValueError("the file in force was replaced before it could be kept")
             one = self._rendered[candidate.digest] = Rendered(candidate.id, data, candidate.digest)
-        await asyncio.to_thread(save_proven, self.place.state, SavedFile(one.id, one.digest, one.data.decode()))
+        return one
 
     def _read_file(self) -> bytes:
         return self.place.files.read(self.place.file, 0, MOST_FILE_BYTES)
 
     async def _look(self) -> c.Event:
-        for action, _ in list(self._unsaved.values()):
-            assert isinstance(action, c.SaveTarget | c.SaveProven)
-            await self._save(action)
+        if self._unsaved is not None:
+            await self._save_target(self._unsaved)
         self._look_at_base()
         try:
-            return c.FileSeen(*rendered_version(await asyncio.to_thread(self._read_file)))
+            data = await asyncio.to_thread(self._read_file)
+            digest, version = rendered_version(data)
         except (OSError, ValueError):
             return c.FileSeen("", None)
+        if version is not None:
+            self._rendered.setdefault(digest, Rendered(version, data, digest))
+        return c.FileSeen(digest, version)
 
     def _look_at_base(self) -> None:
         try:
@@ -315,11 +327,8 @@
         """With the time since when as Unix time."""
         now = now_ms()
         report = self.core.report(now)
-        reasons = [report.reason, *(f"{type(action).__name__} failed: {why}" for action, why in
-                                    self._unsaved.values())]
         since = time.time() * 1000.0 - (now - report.since_ms) if report.in_force else 0.0
-        reason = "; ".join(filter(None, reasons))[:REASON_CHARACTERS]
-        return msgspec.structs.replace(report, since_ms=round(since), reason=reason)
+        return msgspec.structs.replace(report, since_ms=round(since), reason=report.reason[:REASON_CHARACTERS])
 
     def _look_at_report(self, now: float) -> None:
         report = self.core.report(now)
--- a/mastlift/configuration/core.py
+++ b/mastlift/configuration/core.py
@@ -2,8 +2,12 @@
 
 A version is brought in force by a trial: its file is written, the proxy is signalled and asked until its digest is
 the file's. Only versions that were seen in force are *proven*: the file holds a proven one whenever no trial is under
-way, so that a proxy that restarts does not start from one that it would refuse. Trials are `spacing_ms` apart; of
-versions that come meanwhile only the newest is kept. An older version never follows a newer one.
+way, so that a proxy that restarts does not start from one that it would refuse. A proxy that stays down gets the newest
+and the proven file in turn: either may be what keeps it down. Trials are `spacing_ms` apart; of versions that come
+meanwhile only the newest is kept.
+
+An older version never follows a newer one in a process of the proxy; across its restarts, never one that was reported
+in force. So a version is reported in force only once its file is also kept on disk.
 """
 
 from __future__ import annotations
@@ -15,6 +19,8 @@
 
 from mastlift.configuration.versions import INSTALLED, VersionId
 
+MOST_UNPROVEN = 8  # written files whose outcome is not known
+
 
 @dataclass(frozen=True, slots=True)
 class Timing:
@@ -26,7 +32,7 @@
     poll_ms: float = 2000.0  # between two readings of a quiet proxy
     look_ms: float = 2000.0  # between two looks at the file
     retry_ms: float = 1000.0  # after a failed write
-    restart_ms: float = 10_000.0  # a proxy that was up and is silent for less counts as restarting
+    restart_ms: float = 10_000.0  # a proxy that was up and is silent for less counts as restarting; then other files
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +83,17 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ProvenSaved:
+    candidate: Candidate
+
+
+@dataclass(frozen=True, slots=True)
+class ProvenNotSaved:
+    candidate: Candidate
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class SignalSent:
     """`before` was read from the signalled process right before."""
@@ -104,8 +121,8 @@
     """Time has passed."""
 
 
-Event = (VersionLearned | FileSeen | FileWritten | FileFailed | SignalSent | SignalFailed | ProxyAnswered
-         | ProxySilent | Tick)
+Event = (VersionLearned | FileSeen | FileWritten | FileFailed | ProvenSaved | ProvenNotSaved | SignalSent
+         | SignalFailed | ProxyAnswered | ProxySilent | Tick)
 
 
 # --- actions ---
@@ -119,7 +136,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SaveProven:
-    """Keep the file that was seen in force."""
+    """Keep the file that was seen in force; answered by ProvenSaved or ProvenNotSaved."""
 
     candidate: Candidate
 
@@ -193,10 +210,11 @@
     trying: Candidate | None = None
     reading: Reading | None = None
     hand_edits: int = 0
+    unproven: list[Candidate] = field(default_factory=list)  # written since: the proxy may yet show that it took one
     _refusals: dict[str, str] = field(default_factory=dict)  # by digest
     _failure: str = ""
     _file: str | None = None  # the digest that stands; None until it was looked at
-    _adopts: bool = False  # nothing was saved: what stands on the machine is the floor
+    _met: bool = False  # in this agent's life: the proxy has answered and the file was looked at
     _floor: VersionId = INSTALLED  # nothing older is written
     _before: Reading | None = None
     _in_force: Candidate | None = None
@@ -204,7 +222,11 @@
     _silent_since: float | None = None
     _silence: str = ""
     _was_up: bool = False
+    _turn: int = 0  # of the silence in which the newest file was last written
     _edited: bool = False
+    _saved: Candidate | None = None  # the proven one that is on disk
+    _not_saved: str = ""
+    _save_again: float = 0.0  # 0: nothing has to be saved again
     _next_trial: float = 0.0
     _next_write: float = 0.0
     _deadline: float = 0.0
@@ -215,8 +237,8 @@
     _out: list[Action] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self._adopts = self.proven is None
         self._floor = self.proven.id if self.proven is not None else INSTALLED
+        self._saved = self.proven
 
     def handle(self, event: Event, now: float) -> list[Action]:
         self._out = []
@@ -229,6 +251,10 @@
                 self._written(candidate, now)
             case FileFailed(candidate, reason):
                 self._write_failed(candidate, reason, now)
+            case ProvenSaved(candidate):
+                self._saved, self._not_saved = candidate, ""
+            case ProvenNotSaved(candidate, reason):
+                self._not_saved, self._save_again = reason, now + self.timing.retry_ms
             case SignalSent(before):
                 self._signalled(before, now)
             case SignalFailed(reason):
@@ -239,6 +265,7 @@
                 self._silent(reason, now)
             case Tick():
                 pass
+        self._save_once_more(now)
         self._decide(now)
         self._keep_looking(now)
         return self._out
@@ -268,23 +295,41 @@
             self.hand_edits += 1
             self._edited = True
         self._file = seen.digest
+        self._meet()
 
     def _adopt_file(self, seen: FileSeen) -> None:
         """Without a memory of its own the agent takes what it finds for proven, so as to write nothing older."""
-        if self._adopts and seen.digest:
-            self._prove(Candidate(seen.version or INSTALLED, seen.digest))
-        if self._adopts and self.reading is not None:
-            self._adopt_reading(self.reading)
-
-    def _adopt_reading(self, reading: Reading) -> None:
-        self._adopts = False
-        self._floor = max(self._floor, reading.version or INSTALLED)
+        if not seen.digest:
+            return
+        found = Candidate(seen.version or INSTALLED, seen.digest)
+        if self.proven is None:
+            self._prove(found)
+        elif seen.version is not None:
+            self._remember(found)  # written in an earlier life: the proxy may have taken it
+
+    def _meet(self) -> None:
+        """A version may be in force that an earlier life of the agent did not come to save."""
+        reading = self.reading
+        if self._met or reading is None or self._file is None:
+            return
+        self._met = True
+        found = Candidate(reading.version or INSTALLED, reading.digest)
+        self._floor = max(self._floor, found.id)
+        if reading.digest == self._file:
+            self._prove(found)
 
     def _prove(self, candidate: Candidate) -> None:
         if self.proven != candidate and candidate.id >= self._floor:
             self.proven, self._floor = candidate, max(self._floor, candidate.id)
+            self.unproven = [one for one in self.unproven if one.id > candidate.id]
             self._out.append(SaveProven(candidate))
 
+    def _save_once_more(self, now: float) -> None:
+        if self._save_again and now >= self._save_again and self.proven is not None:
+            self._save_again = 0.0
+            if self.proven != self._saved:
+                self._out.append(SaveProven(self.proven))
+
     def _written(self, candidate: Candidate, now: float) -> None:
         self._file, self._look_at = candidate.digest, now + self.timing.look_ms
         if self.phase is Phase.WRITING:
@@ -316,30 +361,32 @@
     # --- the proxy ---
 
     def _answered(self, reading: Reading, now: float) -> None:
-        self._asking, self._silent_since, self._was_up = False, None, True
-        if self._adopts and self._file is not None:
-            self._adopt_reading(reading)
+        self._asking, self._silent_since, self._was_up, self._turn = False, None, True, 0
         self.reading = reading
-        self._note_in_force(reading, now)
+        self._meet()
+        shown = self._candidate_of(reading.digest)
+        self._note_in_force(shown, now)
+        if shown is not None:
+            self._prove(shown)
         if self.phase is Phase.CONFIRMING:
             self._confirm(reading, now)
-        elif self.phase is Phase.IDLE and self.target is not None and reading.digest == self.target.digest:
-            self._prove(self.target)
+        elif self.phase is Phase.IDLE and shown is not None and shown == self.target:
             self._failure = ""
         self._ask_at = now + (self.timing.confirm_poll_ms if self.phase is Phase.CONFIRMING else self.timing.poll_ms)
 
-    def _note_in_force(self, reading: Reading, now: float) -> None:
-        known = next((one for one in (self.trying, self.target, self.proven)
-                      if one is not None and one.digest == reading.digest), None)
-        if known != self._in_force:
-            self._in_force, self._since = known, now
+    def _candidate_of(self, digest: str) -> Candidate | None:
+        return next((one for one in (self.target, self.proven, *self.unproven)
+                     if one is not None and one.digest == digest), None)
+
+    def _note_in_force(self, shown: Candidate | None, now: float) -> None:
+        if shown != self._in_force:
+            self._in_force, self._since = shown, now
 
     def _confirm(self, reading: Reading, now: float) -> None:
         trying, before = self.trying, self._before
         assert trying is not None and before is not None
         if reading.digest == trying.digest:
             self._failure, self._edited = "", False
-            self._prove(trying)
             self._end_trial()
         elif reading.pid != before.pid:
             self._end_trial()  # it restarted: what it has now is judged anew
@@ -392,14 +439,18 @@
         """A proxy that starts reads the file: it has to be one that is known to start it."""
         if self._silent_since is None:
             return  # it was not asked yet
-        if self.proven is not None:
+        turn = int((now - self._silent_since) // self.timing.restart_ms)
+        if turn % 2 == 0 and self.proven is not None:
             self._repair(self.proven, now)
-        elif not self._file:
-            self._repair(goal, now)  # there is none at all: the first start of a new machine
+        elif turn % 2 == 0 and self._file:
+            return
+        elif turn != self._turn or not self._file:  # no file at all: the first start of a new machine
+            self._turn = turn
+            self._repair(goal, now)
 
     def _begin_trial(self, goal: Candidate, now: float) -> None:
         self.phase, self.trying, self._next_trial = Phase.WRITING, goal, now + self.timing.spacing_ms
-        self._out.append(WriteFile(goal))
+        self._write(goal)
 
     def _repair(self, candidate: Candidate | None, now: float) -> None:
         """Put the file right without a signal."""
@@ -407,7 +458,15 @@
             return
         if self._file != candidate.digest and now >= self._next_write:
             self.phase = Phase.REPAIRING
-            self._out.append(WriteFile(candidate))
+            self._write(candidate)
+
+    def _write(self, candidate: Candidate) -> None:
+        self._remember(candidate)
+        self._out.append(WriteFile(candidate))
+
+    def _remember(self, candidate: Candidate) -> None:
+        if candidate != self.proven and candidate not in self.unproven:
+            self.unproven = [*self.unproven, candidate][-MOST_UNPROVEN:]
 
     def _keep_looking(self, now: float) -> None:
         if not self._asking and now >= self._ask_at:
@@ -419,7 +478,7 @@
 
     def next_tick(self, now: float) -> float:
         """When to call `handle` with a Tick at the latest, if nothing else happens before."""
-        times = [self._ask_at, self._look_at, self._next_trial, self._next_write]
+        times = [self._ask_at, self._look_at, self._next_trial, self._next_write, self._save_again]
         return min((at for at in times if at > now), default=now + self.timing.poll_ms)
 
     # --- what operators see ---
@@ -443,7 +502,14 @@
         if target.id < self._floor:
             return Condition.AHEAD, f"version {self._floor} is newer than the keepers' {target.id}"
         if self.reading is not None and self.reading.digest == target.digest:
-            return Condition.IN_FORCE, self._failure or ("the file was edited by hand" if self._edited else "")
+            return self._condition_in_force(target)
         if self._failure:
             return Condition.FAILED, self._failure
         return Condition.PENDING, "the file was edited by hand" if self._edited else ""
+
+    def _condition_in_force(self, target: Candidate) -> tuple[Condition, str]:
+        if self._saved == target:
+            return Condition.IN_FORCE, self._failure or ("the file was edited by hand" if self._edited else "")
+        if self._not_saved:
+            return Condition.FAILED, f"it is in force, but could not be kept on disk: {self._not_saved}"
+        return Condition.PENDING, ""
--- a/mastlift/configuration/saved.py
+++ b/mastlift/configuration/saved.py
@@ -56,6 +56,13 @@
     create_whole(disk, PROVEN_FILE, _seal(msgspec.json.encode(proven)))
 
 
+def make_names_durable(*disks: Disk) -> None:
+    """At a start: an agent that was killed between a rename and its sync left a file that a crash may still take back.
+    Raises DiskFailed."""
+    for disk in disks:
+        disk.sync_names()
+
+
 def load_saved(disk: Disk, service: str) -> Saved:
     """What of it is whole."""
     saved = Saved()
--- a/mastlift/lab/cli.py
+++ b/mastlift/lab/cli.py
@@ -84,7 +84,7 @@
 
 
 @app.command()
-def check(what: Annotated[str, typer.Argument(help="consensus, duties or discovery")],
+def check(what: Annotated[str, typer.Argument(help="consensus, duties, discovery or configuration")],
           runs: Annotated[int, typer.Option(min=1, help="How many schedules.")] = 200, seed: Seed = 0,
           without: Annotated[str, typer.Option(help="Leave out the faults of these numbers: 3,5,7")] = "",
           mutation: Annotated[str, typer.Option(help="Break this rule on purpose, or `all` in turn.")] = "",
--- a/mastlift/lab/groupsim.py
+++ b/mastlift/lab/groupsim.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from mastlift.consensus import core as r
 from mastlift.consensus.log import Log
@@ -645,7 +646,16 @@
         raise group.broken(f"{cut[0]} was cut off, came back, and unseated the leader: {group.leaders}")
 
 
-def shrink(seed: int, tries: int = 200, make: Callable[[int, frozenset[int]], Group] | None = None,
+class Replayed(Protocol):
+    """A simulated run with numbered faults. `run` raises Broken."""
+
+    trace: list[str]
+    fault_number: int
+
+    def run(self) -> None: ...
+
+
+def shrink(seed: int, tries: int = 200, make: Callable[[int, frozenset[int]], Replayed] | None = None,
            ) -> tuple[frozenset[int], str, list[str]]:
     """Leave out faults of a broken schedule as long as it stays broken: which, how it breaks then, and its trace."""
     def outcome(without: frozenset[int]) -> tuple[str, list[str], int] | None:
--- a/mastlift/lab/mutations.py
+++ b/mastlift/lab/mutations.py
@@ -9,13 +9,16 @@
 
 from msgspec import structs
 
+from mastlift.configuration import core as config_core
+from mastlift.configuration import saved
 from mastlift.consensus import core, kept
 from mastlift.consensus.log import Log
 from mastlift.consensus.messages import AppendReply, Entry, Message, Vote, VoteReply
 from mastlift.discovery import hold, lists, teller
 from mastlift.durable import commit, frames, journal
+from mastlift.durable.disk import Disk
 from mastlift.duty import clock
-from mastlift.lab import dutysim, groupsim, leasesim
+from mastlift.lab import configsim, dutysim, groupsim, leasesim
 from mastlift.lab.simdisk import SimDisk
 from mastlift.store.commands import Revoke
 from mastlift.store.machine import Store
@@ -208,9 +211,82 @@
 }
 
 
+_signalled, _learned_version, _repair = (config_core.AgentCore._signalled, config_core.AgentCore._learned,
+                                         config_core.AgentCore._repair)
+_begin_trial, _written = config_core.AgentCore._begin_trial, config_core.AgentCore._written
+
+
+def _goal_without_floor(self: config_core.AgentCore) -> config_core.Candidate | None:
+    return next((one for one in (self.target, self.proven)
+                 if one is not None and one.digest not in self._refusals), None)
+
+
+def _in_force_unsaved(self: config_core.AgentCore, target: config_core.Candidate,
+                      ) -> tuple[config_core.Condition, str]:
+    return config_core.Condition.IN_FORCE, ""
+
+
+def _believe_the_signal(self: config_core.AgentCore, before: config_core.Reading, now: float) -> None:
+    if self.phase is config_core.Phase.SIGNALLING and self.trying is not None:
+        _signalled(self, before, now)
+        self._answered(config_core.Reading(before.pid, self.trying.digest, self.trying.id, before.reloads + 1, ""), now)
+
+
+def _believe_the_file(self: config_core.AgentCore, candidate: config_core.Candidate, now: float) -> None:
+    _written(self, candidate, now)
+    self._in_force = candidate
+
+
+def _learn_when_idle(self: config_core.AgentCore, candidate: config_core.Candidate) -> None:
+    if self.phase is config_core.Phase.IDLE:
+        _learned_version(self, candidate)
+
+
+def _one_trial_each(self: config_core.AgentCore, goal: config_core.Candidate, now: float) -> None:
+    if goal.digest not in self._refusals:
+        _begin_trial(self, goal, now)
+        self._refusals[goal.digest] = "it was tried"
+
+
+def _repair_for_a_start_only(self: config_core.AgentCore, candidate: config_core.Candidate | None, now: float) -> None:
+    if self.reading is None:
+        _repair(self, candidate, now)
+
+
+def _write_in_place(disk: Disk, name: str, data: bytes) -> None:
+    file = disk.create(name)
+    file.write(data)
+    file.sync()
+    disk.sync_names()
+
+
+def _write_without_sync(disk: Disk, name: str, data: bytes) -> None:
+    file = disk.create(name + ".tmp")
+    file.write(data)
+    disk.rename(name + ".tmp", name)
+    disk.sync_names()
+
+
+CONFIG_MUTATIONS: dict[str, tuple[Any, str, Any]] = {
+    "floor-not-kept": (config_core.AgentCore, "_goal", _goal_without_floor),
+    "what-stands-not-adopted": (config_core.AgentCore, "_meet", lambda self: None),
+    "reported-before-saved": (config_core.AgentCore, "_condition_in_force", _in_force_unsaved),
+    "names-left-unsynced": (configsim, "make_names_durable", lambda *disks: None),
+    "in-force-once-signalled": (config_core.AgentCore, "_signalled", _believe_the_signal),
+    "in-force-once-written": (config_core.AgentCore, "_written", _believe_the_file),
+    "burst-loses-the-last": (config_core.AgentCore, "_learned", _learn_when_idle),
+    "one-trial-each": (config_core.AgentCore, "_begin_trial", _one_trial_each),
+    "refused-file-left": (config_core.AgentCore, "_repair", _repair_for_a_start_only),
+    "file-written-in-place": (configsim, "create_whole", _write_in_place),
+    "file-not-synced": (configsim, "create_whole", _write_without_sync),
+    "saved-not-synced": (saved, "create_whole", _write_without_sync),
+}
+
+
 @contextmanager
 def mutated(name: str) -> Iterator[None]:
     """Within this, the named rule is not kept. Raises KeyError for a name that is not known."""
-    owner, attribute, broken = (MUTATIONS | GROUP_MUTATIONS | DUTY_MUTATIONS | LIST_MUTATIONS | MEMBER_MUTATIONS)[name]
+    owner, attribute, broken = (MUTATIONS | GROUP_MUTATIONS | DUTY_MUTATIONS | LIST_MUTATIONS | MEMBER_MUTATIONS
+                                | CONFIG_MUTATIONS)[name]
     with mock.patch.object(owner, attribute, broken):
         yield
--- a/mastlift/lab/schedules.py
+++ b/mastlift/lab/schedules.py
@@ -10,11 +10,12 @@
 from itertools import islice
 from os import cpu_count
 
+from mastlift.lab.configsim import ConfigRun, check_configuration
 from mastlift.lab.crash import Broken
 from mastlift.lab.dutysim import DutyGroup, check_duties
-from mastlift.lab.groupsim import Group, check_group, shrink
+from mastlift.lab.groupsim import Group, Replayed, check_group, shrink
 from mastlift.lab.listsim import ListGroup, check_lists
-from mastlift.lab.mutations import DUTY_MUTATIONS, GROUP_MUTATIONS, LIST_MUTATIONS, mutated
+from mastlift.lab.mutations import CONFIG_MUTATIONS, DUTY_MUTATIONS, GROUP_MUTATIONS, LIST_MUTATIONS, mutated
 
 AT_ONCE = 8  # schedules handed to a process together
 
@@ -24,13 +25,14 @@
     """One kind of schedule: how it is checked and made, and which rules can be broken in it."""
 
     check: Callable[[int, frozenset[int]], Counter[str]]
-    make: Callable[[int, frozenset[int]], Group]
+    make: Callable[[int, frozenset[int]], Replayed]
     mutations: tuple[str, ...]
 
 
 KINDS = {"consensus": Kind(check_group, lambda seed, without: Group(seed, without=without), tuple(GROUP_MUTATIONS)),
          "duties": Kind(check_duties, DutyGroup, tuple(DUTY_MUTATIONS)),
-         "discovery": Kind(check_lists, ListGroup, tuple(LIST_MUTATIONS))}
+         "discovery": Kind(check_lists, ListGroup, tuple(LIST_MUTATIONS)),
+         "configuration": Kind(check_configuration, ConfigRun, tuple(CONFIG_MUTATIONS))}
 
 
 @dataclass(slots=True)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -57,7 +57,7 @@
         self.pid, self.reloads, self.refused = 100, 0, ""
         self.up = True
         self.refuses: set[str] = set()
-        self.writes_fail = self.deaf = False
+        self.writes_fail = self.saves_fail = self.deaf = False
         self.done: list[a.Action] = []
 
     def learn(self, one: a.Candidate) -> None:
@@ -79,6 +79,8 @@
                     return a.FileFailed(one, "no space left")
                 self.file, self.file_id = one.digest, one.id
                 return a.FileWritten(one)
+            case a.SaveProven(one):
+                return a.ProvenNotSaved(one, "no space left") if self.saves_fail else a.ProvenSaved(one)
             case a.SendSignal():
                 if not self.up:
                     return a.SignalFailed("nobody is there")
@@ -307,6 +309,35 @@
     assert machine.report().condition == "in force"
 
 
+def test_a_version_is_reported_in_force_only_once_its_file_is_kept() -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.saves_fail = True
+    machine.learn(candidate(1))
+    machine.run(3000)
+    report = machine.report()
+    assert (report.condition, report.in_force) == ("failed", VersionId(1, 1))
+    assert "could not be kept on disk: no space left" in report.reason
+    machine.saves_fail = False
+    machine.run(3000)
+    assert machine.report().condition == "in force"
+
+
+def test_a_proxy_that_stays_down_gets_the_newest_and_the_proven_file_in_turn() -> None:
+    machine = Machine()
+    machine.run(10)
+    machine.learn(candidate(1))
+    machine.run(3000)
+    machine.up = False
+    machine.run(2500)
+    machine.learn(candidate(2))
+    files = []
+    for _ in range(4):
+        files.append(machine.file)
+        machine.run(10_000)
+    assert files == ["d1.1", "d1.2", "d1.1", "d1.2"]
+
+
 def test_a_changed_base_file_is_brought_in_force_under_the_same_version() -> None:
     machine = Machine()
     machine.run(10)
