--- a/mastlift/configuration/agent.py
+++ b/mastlift/configuration/agent.py
@@ -18,9 +18,16 @@
 
 from mastlift.configuration import core as c
 from mastlift.configuration.endpoint import Proxy, ProxyUnavailable
-from mastlift.configuration.operator import topic_of
 from mastlift.configuration.saved import SavedFile, load_saved, make_names_durable, save_proven, save_target
-from mastlift.configuration.versions import Rendered, Version, current_key, decode_version, render, rendered_version
+from mastlift.configuration.versions import (
+    Rendered,
+    Version,
+    current_key,
+    decode_version,
+    render,
+    rendered_version,
+    topic_of,
+)
 from mastlift.durable.disk import Disk, DiskFailed, DiskFull, create_whole
 from mastlift.keeper.client import KeeperClient, Refused, Unreachable
 from mastlift.keeper.watch import follow
--- /dev/null
+++ b/mastlift/configuration/checks.py
@@ -0,0 +1,45 @@
+"""The check of what is about to be put, by the proxy's own rules. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+from cometdoor.config import missing_keys, read_config
+from mastlift.configuration.versions import DISTRIBUTED, LOCAL_SETTINGS, Version, merge
+from mastlift.settings import BadSettings
+
+PLACEHOLDERS: dict[str, Any] = {"name": "check", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": 0}
+
+
+def check_content(file: str, data: bytes, former: Version | None) -> dict[str, Any]:
+    """What may be put, by the proxy's own rules. Raises BadSettings naming file, key and what was expected."""
+    try:
+        content = orjson.loads(data)
+    except ValueError as error:
+        raise BadSettings(f"{file}: it is no JSON: {error}") from error
+    if not isinstance(content, dict):
+        raise BadSettings(f"{file}: an object is expected, not {type(content).__name__}")
+    for name in content:
+        if name not in DISTRIBUTED:
+            raise BadSettings(f"{file}: {name}: only {' and '.join(DISTRIBUTED)} are distributed; "
+                              "other keys belong into each machine's base file")
+    if not isinstance(content.get("settings"), dict):
+        raise BadSettings(f"{file}: settings: an object is expected")
+    raw = _checked_form(content)
+    try:
+        read_config(raw, {})
+    except KeyError as error:
+        raise BadSettings(f"{file}: {error} is missing or has an unknown value") from error
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
+        raise BadSettings(f"{file}: {error}") from error
+    if former is not None and (missing := sorted(missing_keys(_checked_form(former.content), raw))):
+        raise BadSettings(f"{file}: {', '.join(missing)}: expected, since version {former.id} has it")
+    return content
+
+
+def _checked_form(content: Mapping[str, Any]) -> dict[str, Any]:
+    own = {name: 0 for name in LOCAL_SETTINGS if name not in content["settings"]}
+    return merge({**PLACEHOLDERS, "settings": own}, content)
--- a/mastlift/configuration/cli.py
+++ b/mastlift/configuration/cli.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -12,7 +14,7 @@
 from msgspec import json as mjson
 
 from mastlift.keeper.command import BAD_CALL, DEFAULT_KEEPER, NO, Keepers, fail, with_keeper
-from mastlift.logs import LogForm, start_logging
+from mastlift.logs import LogForm
 
 HELP = """Configuration of services: put it once, see it in force at every proxy, take it back.
 
@@ -160,14 +162,12 @@
                                                     "control, keepers.")],
           log: Annotated[LogForm, typer.Option(help="The form of the log on standard error.")] = LogForm.AUTO) -> None:
     """Keep a proxy's configuration: one such process beside each proxy. Ends with SIGTERM; the proxy goes on."""
-    from mastlift.configuration.command import run
     from mastlift.configuration.config import load_agent
-    from mastlift.durable.disk import Busy, DiskFailed
     from mastlift.settings import BadSettings
 
     try:
-        settings = load_agent(config)
-        start_logging(log)
-        run(settings, config.parent)
-    except (BadSettings, Busy, DiskFailed) as error:
+        load_agent(config)
+    except BadSettings as error:
         fail(BAD_CALL, error)
+    # In place of this process, which has loaded all commands: the agent itself is to be small.
+    os.execv(sys.executable, [sys.executable, "-m", "mastlift.configuration", str(config), log.value])
--- a/mastlift/configuration/command.py
+++ b/mastlift/configuration/command.py
@@ -11,7 +11,6 @@
 from pathlib import Path
 
 import uvloop
-from aiohttp import web
 
 from mastlift.configuration.agent import Agent, AgentMetrics, Pace, Place
 from mastlift.configuration.config import AgentSettings, read_base
@@ -31,6 +30,7 @@
     if not where:
         yield ""
         return
+    from aiohttp import web  # 2 MB that only this part needs
 
     async def show(request: web.Request) -> web.Response:
         return web.Response(body=metrics.text(), headers={"Content-Type": metrics.content_type})
--- a/mastlift/configuration/operator.py
+++ b/mastlift/configuration/operator.py
@@ -10,12 +10,12 @@
 
 import msgspec
 
+from mastlift.configuration.checks import check_content
 from mastlift.configuration.core import Condition, Report
 from mastlift.configuration.versions import (
     KEPT_VERSIONS,
     Version,
     VersionId,
-    check_content,
     check_service,
     current_key,
     decode_version,
@@ -23,6 +23,7 @@
     history_key,
     history_prefix,
     make_version,
+    topic_of,
 )
 from mastlift.discovery.lists import LIST
 from mastlift.keeper.client import KeeperClient, Unreachable, ask_each
@@ -30,7 +31,6 @@
 from mastlift.settings import BadSettings
 from mastlift.store.machine import LIST_BASE_KEY
 
-TOPIC = "config:"  # of reports, before the service's name
 SILENT_MS = 25_000.0  # a proxy whose agent has not reported for so long counts as unknown
 ASK_S = 2.0
 
@@ -51,10 +51,6 @@
     changed: int
 
 
-def topic_of(service: str) -> str:
-    return TOPIC + service
-
-
 async def current(client: KeeperClient, service: str) -> Standing:
     entry = await client.get(current_key(service))
     if entry is None:
@@ -256,4 +252,4 @@
 
 
 __all__ = ["BadSettings", "Conflict", "NoVersion", "ProxyStatus", "ServiceStatus", "Standing", "Where", "current",
-           "gather", "get", "history", "judge", "put", "revert", "status", "topic_of"]
+           "gather", "get", "history", "judge", "put", "revert", "status"]
--- a/mastlift/configuration/versions.py
+++ b/mastlift/configuration/versions.py
@@ -1,4 +1,4 @@
-"""What a version of a service's configuration is, what it may contain, and the proxy's file made from it. Pure.
+"""What a version of a service's configuration is, and the proxy's file made from it. Pure.
 
 Versions are ordered by the history of the store they were put into (the Unix time in ms at which that history began),
 then by number. A restored backup begins a new history: what is put there is newer than all that was put before, and
@@ -16,15 +16,12 @@
 import msgspec
 import orjson
 
-from cometdoor.config import missing_keys, read_config
-from cometdoor.control import settings_digest
 from mastlift.settings import BadSettings
 
 KEPT_VERSIONS = 50  # of a service; older ones are deleted by the put that makes the next one
 DISTRIBUTED = ("settings", "discovery")
 LOCAL_SETTINGS = ("position", "zone")  # the machine's own, where its base file has them
 VERSION_KEY = "version"  # in the proxy's file; the proxy shows it at its admin endpoint
-PLACEHOLDERS: dict[str, Any] = {"name": "check", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": 0}
 SERVICE_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 _ENCODE = msgspec.json.Encoder(order="deterministic").encode
 
@@ -75,6 +72,11 @@
     return f"{history_prefix(service)}{number:012d}"
 
 
+def topic_of(service: str) -> str:
+    """Of agents' reports."""
+    return f"config:{service}"
+
+
 def check_service(service: str, what: str) -> str:
     """Raises BadSettings naming `what`."""
     if not SERVICE_NAME.fullmatch(service):
@@ -111,6 +113,12 @@
 
 # --- the proxy's file ---
 
+def settings_digest(raw: Mapping[str, Any]) -> str:
+    """As the proxy's own `cometdoor.control.settings_digest`, without loading the proxy into each agent."""
+    settings = {name: value for name, value in raw.items() if name != "known"}
+    return hashlib.sha256(orjson.dumps(settings, option=orjson.OPT_SORT_KEYS)).hexdigest()
+
+
 def merge(base: Mapping[str, Any], content: Mapping[str, Any]) -> dict[str, Any]:
     """The machine's own keys with the service's distributed ones."""
     own = base.get("settings") or {}
@@ -139,36 +147,3 @@
         return msgspec.convert(value, VersionId)
     except msgspec.ValidationError:
         return None
-
-
-# --- the check before a put ---
-
-def check_content(file: str, data: bytes, former: Version | None) -> dict[str, Any]:
-    """What may be put, by the proxy's own rules. Raises BadSettings naming file, key and what was expected."""
-    try:
-        content = orjson.loads(data)
-    except ValueError as error:
-        raise BadSettings(f"{file}: it is no JSON: {error}") from error
-    if not isinstance(content, dict):
-        raise BadSettings(f"{file}: an object is expected, not {type(content).__name__}")
-    for name in content:
-        if name not in DISTRIBUTED:
-            raise BadSettings(f"{file}: {name}: only {' and '.join(DISTRIBUTED)} are distributed; "
-                              "other keys belong into each machine's base file")
-    if not isinstance(content.get("settings"), dict):
-        raise BadSettings(f"{file}: settings: an object is expected")
-    raw = _checked_form(content)
-    try:
-        read_config(raw, {})
-    except KeyError as error:
-        raise BadSettings(f"{file}: {error} is missing or has an unknown value") from error
-    except (ValueError, TypeError, AttributeError, OverflowError) as error:
-        raise BadSettings(f"{file}: {error}") from error
-    if former is not None and (missing := sorted(missing_keys(_checked_form(former.content), raw))):
-        raise BadSettings(f"{file}: {', '.join(missing)}: expected, since version {former.id} has it")
-    return content
-
-
-def _checked_form(content: Mapping[str, Any]) -> dict[str, Any]:
-    own = {name: 0 for name in LOCAL_SETTINGS if name not in content["settings"]}
-    return merge({**PLACEHOLDERS, "settings": own}, content)
--- /dev/null
+++ b/mastlift/lab/hollowconfig.py
@@ -0,0 +1,102 @@
+"""Configuration agents by the hundred in one process: the real `Agent`, its clients and its core, before stand-ins for
+what a machine has beside them. Left out are the proxy's process (its answers and its file reading are done here at
+once) and the disk (files are in memory, nothing waits for a sync)."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import statistics
+import sys
+import time
+from collections.abc import Sequence
+
+import msgspec
+import structlog
+import uvloop
+
+from mastlift.configuration import core as c
+from mastlift.configuration.agent import Agent, AgentMetrics, Pace, Place
+from mastlift.configuration.endpoint import ProxyUnavailable
+from mastlift.configuration.versions import rendered_version
+from mastlift.durable.disk import create_whole
+from mastlift.keeper.client import KeeperClient
+from mastlift.lab.simdisk import SimDisk
+from mastlift.metrics import Metrics
+
+FILE = "proxy.json"
+START_APART_S = 0.004  # machines don't start at one moment; bench figures are of what comes after
+
+
+class HollowProxy:
+    """Answers as a proxy that takes every file."""
+
+    def __init__(self, files: SimDisk, pid: int) -> None:
+        self._files, self._pid, self._reloads = files, pid, 0
+        self._digest, self._version = rendered_version(files.read(FILE, 0, 1 << 24))
+
+    async def read(self) -> c.Reading:
+        return c.Reading(self._pid, self._digest, self._version, self._reloads, "")
+
+    async def reload(self) -> c.Reading:
+        before = await self.read()
+        try:
+            self._digest, self._version = rendered_version(self._files.read(FILE, 0, 1 << 24))
+        except ValueError as error:
+            raise ProxyUnavailable(str(error)) from error
+        self._reloads += 1
+        return before
+
+
+class Fleet:
+    """Tells on standard error, as a line of JSON, when all of its agents have a version in force."""
+
+    def __init__(self, count: int) -> None:
+        self.count = count
+        self._times: dict[int, list[float]] = {}
+
+    def seen(self, number: int) -> None:
+        times = self._times.setdefault(number, [])
+        times.append(time.time())
+        if len(times) == self.count:
+            told = {"event": f"in_force_{number}", "last": max(times), "median": statistics.median(times)}
+            print(msgspec.json.encode(told).decode(), file=sys.stderr, flush=True)
+
+
+class HollowAgent(Agent):
+    """Notes when it first reports a version in force."""
+
+    fleet: Fleet
+    newest_seen = 0
+
+    def _look_at_report(self, now: float) -> None:
+        super()._look_at_report(now)
+        shown = self._shown
+        if shown.condition is c.Condition.IN_FORCE and shown.in_force and shown.in_force.number > self.newest_seen:
+            self.newest_seen = shown.in_force.number
+            self.fleet.seen(self.newest_seen)
+
+
+async def run_agents(keepers: Sequence[str], service: str, first: int, count: int) -> None:
+    """For ever."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    fleet, metrics = Fleet(count), AgentMetrics(Metrics())
+    async with contextlib.AsyncExitStack() as stack, asyncio.TaskGroup() as tasks:
+        for number in range(first, first + count):
+            files, name = SimDisk(), f"h{number}"
+            base = {"name": name, "listen": "127.0.0.1:1", "seed": 1, "settings": {"position": 0, "zone": 0}}
+            create_whole(files, FILE, msgspec.json.encode(base))
+            place = Place(service, name, files, FILE, SimDisk(), lambda base=base: base)  # type: ignore[misc]
+            watcher = await stack.enter_async_context(KeeperClient(keepers, 5.0))
+            reporter = await stack.enter_async_context(KeeperClient(keepers, 5.0))
+            agent = HollowAgent(place, HollowProxy(files, number + 1), watcher, reporter, c.Timing(), Pace(), metrics)
+            agent.fleet = fleet
+            tasks.create_task(agent.run())
+            await asyncio.sleep(START_APART_S)
+        print('{"event": "started"}', file=sys.stderr, flush=True)
+
+
+def main(keepers: str, service: str, first: int, count: int) -> None:
+    """Entry point of one process of hollow agents."""
+    uvloop.run(run_agents(keepers.split(","), service, first, count))
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,18 +9,20 @@
 import orjson
 import pytest
 
+from cometdoor import control
 from mastlift.configuration import core as a
+from mastlift.configuration.checks import check_content
 from mastlift.configuration.operator import ServiceStatus, Where, gather
 from mastlift.configuration.saved import PROVEN_FILE, TARGET_FILE, SavedFile, load_saved, save_proven, save_target
 from mastlift.configuration.versions import (
     INSTALLED,
     VersionId,
-    check_content,
     decode_version,
     encode_version,
     make_version,
     render,
     rendered_version,
+    settings_digest,
 )
 from mastlift.keeper.reports import FORGET_MS, ReportTable
 from mastlift.lab.fleet import SETTINGS
@@ -386,6 +388,12 @@
     assert rendered_version(one.data) == (one.digest, VersionId(1, 1))
 
 
+def test_agents_and_proxies_have_one_digest() -> None:
+    raw = {**BASE, **CONTENT, "numbers": [1, 1.5, 1e300, -0.0, 2**63], "text": "\u00fc"}
+    assert settings_digest(raw) == control.settings_digest(raw)
+    assert settings_digest(orjson.loads(orjson.dumps(raw))) == control.settings_digest(raw)
+
+
 @pytest.mark.parametrize(("data", "wanted"), [
     (b"{", "it is no JSON"), (b"[]", "an object is expected"), (b"{}", "settings: an object is expected"),
     (b'{"settings": {}, "listen": "x"}', "listen: only settings and discovery are distributed"),
