--- a/mastlift/configuration/agent.py
+++ b/mastlift/configuration/agent.py
@@ -38,7 +38,7 @@
 
 AGAIN_S, LONGEST_AGAIN_S = 0.2, 3.0  # between reads of the newest version while no keeper answers
 REPORT_WITHIN_S = 4.0
-WATCH_LAG_S = 1.0  # a watch may be so much later than the answer to a report
+WATCH_LAG_S = 0.5  # a watch may be so much later than the answer to a report
 REASON_CHARACTERS = 400
 MOST_FILE_BYTES = 64 << 20
 ReadBase = Callable[[], dict[str, Any]]
@@ -65,7 +65,7 @@
 class Pace:
     """In seconds."""
 
-    report_s: float = 10.0
+    report_s: float = 3.0  # also how soon a watch that hangs is found out
     spread_s: float = 0.2
 
 
--- a/mastlift/configuration/checks.py
+++ b/mastlift/configuration/checks.py
@@ -11,11 +11,14 @@
 from mastlift.configuration.versions import DISTRIBUTED, LOCAL_SETTINGS, Version, merge
 from mastlift.settings import BadSettings
 
+MOST_BYTES = 256 << 10  # each of the kept versions has so many in every keeper's memory
 PLACEHOLDERS: dict[str, Any] = {"name": "check", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": 0}
 
 
 def check_content(file: str, data: bytes, former: Version | None) -> dict[str, Any]:
     """What may be put, by the proxy's own rules. Raises BadSettings naming file, key and what was expected."""
+    if len(data) > MOST_BYTES:
+        raise BadSettings(f"{file}: at most {MOST_BYTES} bytes are expected, not {len(data)}")
     try:
         content = orjson.loads(data)
     except ValueError as error:
--- a/mastlift/configuration/command.py
+++ b/mastlift/configuration/command.py
@@ -22,6 +22,7 @@
 from mastlift.settings import BadSettings, address
 
 CALL_S = 5.0
+REPORT_ATTEMPT_S = 1.0  # a keeper that hangs must not hold a report back for long
 
 
 @contextlib.asynccontextmanager
@@ -65,7 +66,7 @@
     async with contextlib.AsyncExitStack() as stack:
         metrics_at = await stack.enter_async_context(_serving_metrics(agent.metrics, metrics))
         watcher = await stack.enter_async_context(KeeperClient(agent.keepers, CALL_S))
-        reporter = await stack.enter_async_context(KeeperClient(agent.keepers, CALL_S))
+        reporter = await stack.enter_async_context(KeeperClient(agent.keepers, CALL_S, attempt_s=REPORT_ATTEMPT_S))
         one = Agent(_place(settings, folder, state), proxy, watcher, reporter, settings.core_timing(), pace,
                     AgentMetrics(metrics))
         running = asyncio.create_task(one.run())
--- a/mastlift/configuration/config.py
+++ b/mastlift/configuration/config.py
@@ -32,7 +32,7 @@
     spacing_s: Seconds = 1.0  # between two changes of one proxy
     confirm_s: Seconds = 2.0  # for the proxy to act on a signal
     poll_s: Seconds = 2.0  # between two looks at a quiet proxy and its file
-    report_s: Seconds = 10.0  # between two reports without news
+    report_s: Seconds = 3.0  # between two reports without news; also how soon a watch that hangs is found out
     spread_s: Annotated[float, Meta(ge=0)] = 0.2  # over which reports of one change are spread
 
 
--- a/mastlift/configuration/operator.py
+++ b/mastlift/configuration/operator.py
@@ -31,7 +31,7 @@
 from mastlift.settings import BadSettings
 from mastlift.store.machine import LIST_BASE_KEY
 
-SILENT_MS = 25_000.0  # a proxy whose agent has not reported for so long counts as unknown
+SILENT_MS = 10_000.0  # a proxy whose agent has not reported for so long counts as unknown
 ASK_S = 2.0
 
 
@@ -118,8 +118,9 @@
         after = await current(client, service)
         if after.changed != stands.changed:
             raise
-        raise Unreachable(f"{error}; version {stands.version.id if stands.version else 0} still stands, nothing was "
-                          "changed") from error
+        stands_now = f"version {stands.version.id if stands.version else 0} still stands"
+        certain = ", nothing was changed" if "disk_full" in str(error) else "; look again before you repeat it"
+        raise Unreachable(f"{error}; {stands_now}{certain}") from error
 
 
 async def history(client: KeeperClient, service: str) -> list[Version]:
