Test the keepers' reports by their calls, and a burst of versions at hollow agents

Need: `bench config`'s hollow agents and the reports' calls had no small form in the tests. Change: rows in the table of calls, and 25 hollow agents that get ten versions in a row: the last arrives, a status of all, and one revision a version, so that reports cost no agreed write.

--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -19,6 +19,7 @@
 from mastlift.configuration import operator
 from mastlift.configuration.operator import Conflict, Where
 from mastlift.keeper.client import KeeperClient, Unreachable
+from mastlift.lab.benches.config import hollow
 from mastlift.lab.chaos import ChaosGroup, running
 from mastlift.lab.configfleet import SERVICE, Machine, content, machines, until_status
 from mastlift.lab.faulty import Fault, Faults
@@ -227,6 +228,22 @@
     await until_status(client, group.keepers, everywhere(4))
 
 
+def test_many_agents_in_one_process_get_a_burst_merged_and_report_without_an_agreed_write(tmp_path: Path) -> None:
+    """The hollow agents of `bench config`."""
+    async def test() -> None:
+        listen, count = free_address(), 25
+        async with (keeper(keeper_settings(tmp_path, listen)), KeeperClient([listen]) as client,
+                    hollow([listen], count, SERVICE) as agents):
+            for number in range(1, 11):
+                last = await operator.put(client, SERVICE, "one.json", content(number / 10))
+            await agents.in_force(last.id.number)
+            seen = await until_status(client, [listen], everywhere(10))
+            assert len(seen.proxies) == count
+            revision = (await client.status())["revision"]
+            assert revision == last.id.number  # a transaction each, and nothing else
+    run(test)
+
+
 def test_a_restored_backup_takes_no_proxy_back_and_the_next_put_is_newer(tmp_path: Path) -> None:
     async def test() -> None:
         listen = free_address()
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -60,6 +60,14 @@
                         b'[{"delete":{"key":"k"}}]}', 200, '"then":false'),
     ("DELETE", "/v1/kv/k", None, 200, '"deleted":0'), ("GET", "/v1/kv?prefix=a", None, 200, "a/b c"),
     ("GET", "/v1/changes?after=900", None, 409, "ahead"), ("GET", "/v1/changes?after=-1", None, 400, "after"),
+    ("POST", "/v1/reports/t/one", b'{"a":1}', 200, '"changed":0'),
+    ("POST", "/v1/reports/t/one?key=a%2Fb%20c", b'{"a":2}', 200, '"changed":1'),
+    ("GET", "/v1/reports/t", None, 200, '"name":"one"'), ("GET", "/v1/reports/t", None, 200, '"report":{"a":2}'),
+    ("GET", "/v1/reports/other", None, 200, '"reports":[]'),
+    ("POST", "/v1/reports/t/one", b"nonsense", 400, '"field":"body"'),
+    ("POST", "/v1/reports/t/one", b"[]", 400, '"field":"body"'),
+    ("POST", "/v1/reports/t/one", b" " * 5000, 413, '"field":"body"'),
+    ("POST", "/v1/reports/t/one?kee=1", b"{}", 400, '"field":"kee"'),
     ("GET", "/nothing", None, 404, ""), ("GET", "/up", None, 200, "true"), ("GET", "/metrics", None, 200, "mastlift_"),
 ]
 
