Compare the timing of calls after ended watches by seed, and use 1,024 servers over sockets

`lab ended-watches` plays the emulator's scenarios over many seeds: late proxies, slowest, calls, with the former timing and the bound of any order beside them.

--- a/mastlift/lab/cli.py
+++ b/mastlift/lab/cli.py
@@ -257,3 +257,21 @@
     start_logging(LogForm.JSON)
     process.run(load(config, Settings), config.parent, lambda disk: FaultyDisk(disk, faults))
 
+
+@app.command("ended-watches")
+def ended_watches(seeds: Annotated[int, typer.Option(min=1, help="How many seeds of each scenario.")] = 100,
+                  proxies: Annotated[int, typer.Option(min=1, help="Leave out larger scenarios.")] = 230,
+                  json: Json = False) -> None:
+    """How many proxies learn too late of a drain that their watch did not report before it ended.
+
+    Real discovery clients in simulated time; the timing of calls in use, the former one, and the least of any order."""
+    from mastlift.lab.emulator.ended_watches import SCENARIOS, Comparison, compare
+
+    rows: list[Comparison] = []
+    for scenario in SCENARIOS:
+        if scenario.proxies <= proxies:
+            rows.append(compare(scenario, range(seeds)))
+            if not json:
+                typer.echo(str(rows[-1]))
+    if json:
+        typer.echo(mjson.encode(rows).decode())
--- a/mastlift/lab/emulator/ended_watches.py
+++ b/mastlift/lab/emulator/ended_watches.py
@@ -99,3 +99,35 @@
     """All seeds together."""
     results = [play(scenario, seed) for seed in seeds]
     return Result([delay for result in results for delay in result.delays_s], sum(result.calls for result in results))
+
+
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """Shares of proxies that learned too late, over all seeds, and calls for a list in one run on the mean."""
+
+    scenario: Scenario
+    seeds: int
+    late: float
+    late_before: float
+    bound: float
+    slowest_s: float
+    slowest_before_s: float
+    calls: float
+    calls_before: float
+
+    def __str__(self) -> str:
+        scenario = self.scenario
+        queue = f"reset {scenario.reset_before_s:.1f} s before" if scenario.reset_before_s else "queue empty"
+        return (f"{scenario.proxies:4} proxies, {scenario.ended:3} watches end, each call {scenario.all_call_s} s, "
+                f"{queue}: late {self.late_before:.3f} -> {self.late:.3f} (bound {self.bound:.3f}), "
+                f"slowest {self.slowest_before_s:.2f} -> {self.slowest_s:.2f} s, "
+                f"calls {self.calls_before:.0f} -> {self.calls:.0f}")
+
+
+def compare(scenario: Scenario, seeds: Sequence[int]) -> Comparison:
+    new = play_seeds(scenario, seeds)
+    with former_timing():
+        former = play_seeds(scenario, seeds)
+    return Comparison(
+        scenario, len(seeds), new.late / len(new.delays_s), former.late / len(former.delays_s), scenario.bound,
+        max(new.delays_s), max(former.delays_s), new.calls / len(seeds), former.calls / len(seeds))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -228,6 +228,47 @@
     run(test)
 
 
+@pytest.mark.parametrize("asked", [True, False])
+def test_over_sockets_a_list_of_1024_servers_and_1024_balancers_are_used_whole(asked: bool) -> None:
+    async def test() -> None:
+        discovery, leaving, staying = [await FakeServer().start() for _ in range(3)]
+        members = [member(f"s{i}", (leaving if i % 2 else staying).address) for i in range(1024)]
+        rig = await Rig().start(members[0], discovery=discovery.address, asked=asked, group_size=1024, position=1023)
+        watch = await discovery.next()
+        watch.open_stream()
+        watch.send_list(42, True, *members)
+        while len(rig.proxy._balancer._members) < 1024:
+            await asyncio.sleep(0.001)
+        assert rig.config.settings.balancers == 1024
+        caller = await rig.caller()
+        served = 0
+
+        async def answer(server: FakeServer) -> None:
+            nonlocal served
+            while True:
+                (await server.next()).reply(200, b"x")
+                served += server is leaving
+        answering = [asyncio.create_task(answer(server)) for server in (leaving, staying)]
+
+        async def ask(count: int) -> None:
+            for _ in range(count):
+                caller.ask()
+                assert (await caller.answer()).status == 200
+        await ask(40)
+        assert served > 0
+        watch.send_list(43, False, *({**one, "phase": "terminating"} for one in members[1::2]))
+        while len(rig.proxy._ready) > 512:
+            await asyncio.sleep(0.001)
+        served = 0
+        await ask(40)
+        assert served == 0
+        for task in answering:
+            task.cancel()
+        rig.proxy.stop()
+
+    run(test)
+
+
 def test_a_send_whose_connection_comes_up_late_does_not_start_at_a_server_that_leaves() -> None:
     """The settings let a connection take longer than sends to a leaving server may go on."""
 
