Leave no request to the garbage collector: its rounds held the loop for 80 ms

What the rounds went over were requests that were over: a request and its attempts hold each other, 9 objects with headers and body a call.

Change: a request that is over takes itself from its attempts; what an attempt that has ended is told late asks first whether it has ended.

The new test fails without the mend.

--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -527,6 +527,8 @@
         self._end_attempt(attempt, Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED)
 
     def _attempt_done(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
+        if attempt.ended:
+            return
         request = attempt.request
         if attempt is request.owner:
             client = self._leave_client(request)
@@ -536,16 +538,18 @@
                 log.info("%s: the answer of %s broke midway: %s", request.message.trace_id, attempt.server,
                          outcome.value)
                 client.break_answer()
-        elif outcome is Outcome.OK and answer is not None and not attempt.ended and request.owner is None:
+        elif outcome is Outcome.OK and answer is not None and request.owner is None:
             self._answer(request, 200, answer.headers, answer.body)
         self._end_attempt(attempt, outcome)
 
     def _answer_begins(self, attempt: Attempt, headers: Headers, length: int | None,
                        source: Source) -> Sink | None:
         """The first bytes of a long answer are here: from now on it is the client's."""
+        if attempt.ended:
+            return None
         request = attempt.request
         client = request.client
-        if attempt.ended or request.owner is not None or client is None or not client.begin_answer(
+        if request.owner is not None or client is None or not client.begin_answer(
                 headers, length, source):
             return None
         request.owner = attempt
@@ -567,6 +571,7 @@
         """An attempt has exactly one outcome, also one that is called off or ends late."""
         if attempt.ended:
             return
+        request = attempt.request
         attempt.ended = True
         attempt.outcome = outcome.value
         if attempt.timer is not None:
@@ -575,12 +580,14 @@
         if attempt.exchange is not None:
             attempt.exchange.abort()
             attempt.exchange = None
-        request = attempt.request
         self._dispatch(api.AttemptEnded(
             request.id, attempt.index, attempt.server, outcome, request.client is None,
             now_ms() - attempt.sent_at))
         self._clean_up(request)
 
     def _clean_up(self, request: LiveRequest) -> None:
-        if request.is_over():
-            self._requests.pop(request.id, None)
+        if request.is_over() and self._requests.pop(request.id, None) is not None:
+            for attempt in request.attempts:
+                # They hold each other: with its headers and body it would stay until the collector's next round, and
+                # make that one long. Nobody asks an attempt that has ended for its request.
+                del attempt.request
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import socket
 import struct
@@ -12,6 +13,8 @@
 
 import pytest
 
+from cometdoor.frontend import ClientRequest
+from cometdoor.proxy import Attempt, LiveRequest
 from cometdoor.upstream import Connection
 from jasperhall import api
 from tests.rig import FakeServer, Message, Rig, Script, first_to, member, run
@@ -336,3 +339,36 @@
         assert await final(client) == 200
 
     run(test)
+
+
+# --- what makes it late ---
+
+
+def requests_in_memory() -> int:
+    return sum(isinstance(kept, LiveRequest | Attempt | ClientRequest) for kept in gc.get_objects())
+
+
+@pytest.mark.parametrize("status", [200, 500])
+def test_a_request_that_is_over_leaves_nothing_to_the_collector(status: int) -> None:
+    """What it leaves makes the collector's rounds long, and the loop stands still meanwhile."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().in_place() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            caller = await rig.caller()
+            for _ in range(5):
+                caller.ask()
+                call = await backend.next()
+                assert requests_in_memory() == before + 3
+                call.reply(status)
+                await caller.answer()
+            assert requests_in_memory() == before
+
+    gc.collect()
+    before = requests_in_memory()
+    gc.disable()
+    try:
+        run(test)
+    finally:
+        gc.enable()
