End a resting connection for a newcomer without looking at all connections

Cause: where a crowd has filled the descriptors each newcomer ends another's connection, and for it the list of all was gone through up to four times (one that rested long, that lingers, that was answered, that stopped in a head). While it lasts who waits to be accepted waits on, and a client's end with it.

Change: connections stand in the order in which they came to rest, so the first that is too young ends the search; those that linger have an order of their own.

--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -667,6 +667,7 @@
                 self._transport.resume_reading()
             self._transport.write_eof()
             self.lingers_since = self._front.loop.time()
+            self._front.lingers(self)
             self._linger_until = self.lingers_since + linger_s
             self._linger = self._front.loop.call_later(min(linger_s, LINGER_S), self._end_linger)
 
@@ -795,6 +796,7 @@
     life: LifeCycle
     closing: bool = False  # answers end their connections
     connections: dict[ClientConnection, None] = field(default_factory=dict)  # the longest at rest first
+    lingering: dict[ClientConnection, None] = field(default_factory=dict)  # the longest first
     _listener: Listener | None = None
 
     def __post_init__(self) -> None:
@@ -867,6 +869,11 @@
         connection.rests_since = self.loop.time()
         self.connections[connection] = self.connections.pop(connection)
 
+    def lingers(self, connection: ClientConnection) -> None:
+        """It has all it is owed, and is only read on for its answer's sake."""
+        if connection in self.connections:
+            self.lingering[connection] = None
+
     def make_room(self) -> bool:
         """Ends a caller's connection that is at rest, best one that has been so for as long as it is owed.
 
@@ -876,17 +883,14 @@
         return self._end_rested() or self._end_lingering() or self._end_answered() or self._end_stuck()
 
     def _end_lingering(self) -> bool:
-        """One that has all it is owed, and is only read on for its answer's sake."""
-        until = self.loop.time() - LINGERED_S
-        for other in self.connections:
-            if other.lingers_since <= until:
-                other.close()
-                return True
-        return False
+        oldest = next(iter(self.lingering), None)
+        if oldest is None or oldest.lingers_since > self.loop.time() - LINGERED_S:
+            return False
+        oldest.close()
+        return True
 
     def _end_rested(self) -> bool:
-        until = self.loop.time() - REST_S
-        return self._end_longest_at_rest(lambda other: other.rests_since <= until)
+        return self._end_longest_at_rest(lambda other: True, self.loop.time() - REST_S)
 
     def _end_answered(self) -> bool:
         return self._end_longest_at_rest(lambda other: not other.is_new)
@@ -895,13 +899,17 @@
         """One that stopped half way in its head: it will hardly go on."""
         since = self.loop.time() - STUCK_S
         for other in self.connections:
+            if other.rests_since > since:
+                return False  # and nobody behind it has stopped for so long
             if other.is_stuck(since):
                 other.close()
                 return True
         return False
 
-    def _end_longest_at_rest(self, may_go: Callable[[ClientConnection], bool]) -> bool:
+    def _end_longest_at_rest(self, may_go: Callable[[ClientConnection], bool], since: float = math.inf) -> bool:
         for other in self.connections:
+            if other.rests_since > since:
+                return False
             if may_go(other) and other.is_idle():
                 other.close()
                 return True
@@ -911,6 +919,7 @@
         """It is closing: its descriptor is given back in a moment, and counts no more."""
         if connection in self.connections:
             del self.connections[connection]
+            self.lingering.pop(connection, None)
             self.descriptors.used -= 1
 
     def closed(self, connection: ClientConnection) -> None:
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -8,12 +8,12 @@
 import socket
 import struct
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from unittest import mock
 
 import pytest
 
-from cometdoor.frontend import ClientRequest
+from cometdoor.frontend import LINGERED_S, ClientConnection, ClientRequest
 from cometdoor.proxy import Attempt, LiveRequest
 from cometdoor.upstream import Connection
 from jasperhall import api
@@ -372,3 +372,54 @@
         run(test)
     finally:
         gc.enable()
+
+
+class Counted(dict[ClientConnection, None]):
+    """How many entries are looked at."""
+
+    looks = 0
+
+    def __iter__(self) -> Iterator[ClientConnection]:
+        for connection in super().__iter__():
+            self.looks += 1
+            yield connection
+
+
+@pytest.mark.parametrize(("asked", "looks"), [(True, 2), (False, 62)])
+def test_room_for_one_of_a_crowd_is_made_without_a_look_at_all_others(asked: bool, looks: int) -> None:
+    """Nobody has rested for long, lingers, or has stopped in a head for long: the first of each says so for all."""
+    async def test() -> None:
+        rig = await Rig().start()
+        callers = [await rig.caller() for _ in range(60)]
+        await accepted(rig, 60)
+        if asked:
+            for caller in callers:
+                caller.writer.write(b"GET /up HTTP/1.1\r\n\r\n")
+                await caller.answer()
+        counted = rig.front.connections = Counted(rig.front.connections)
+        assert rig.front.make_room() == asked
+        assert counted.looks <= looks
+
+    run(test)
+
+
+def test_the_one_that_has_lingered_longest_makes_room_first() -> None:
+    async def test() -> None:
+        rig = await Rig().start()
+        callers = [await rig.caller() for _ in range(3)]
+        await accepted(rig, 3)
+        for caller in callers[1:]:
+            caller.writer.write(b"nonsense\r\n\r\n")
+            assert (await caller.answer()).status == 400
+        await asyncio.sleep(LINGERED_S)
+        assert len(rig.front.lingering) == 2
+        first, last = rig.front.lingering
+        assert rig.front.make_room()
+        assert list(rig.front.lingering) == [last]
+        assert first not in rig.front.connections
+        assert rig.front.make_room()
+        assert not rig.front.lingering
+        assert not rig.front.make_room()
+        assert len(rig.front.connections) == 1
+
+    run(test)
