--- a/mastlift/configuration/cli.py
+++ b/mastlift/configuration/cli.py
@@ -33,7 +33,7 @@
 
 def _run(keepers: str, within_s: float, work: Callable[[Any], Awaitable[T]]) -> T:
     """As `with_keeper`; a conflict or a missing version ends with exit code 1."""
-    from mastlift.configuration.operator import Conflict, NoVersion
+    from mastlift.configuration.operations import Conflict, NoVersion
 
     try:
         return with_keeper(keepers, within_s, work)
@@ -54,31 +54,31 @@
                                                                "`discovery`.")],
         expect: Expect = None, keepers: Keepers = DEFAULT_KEEPER, json: Json = False) -> None:
     """Check a file by the proxy's rules and store it as the next version."""
-    from mastlift.configuration import operator
+    from mastlift.configuration import operations
 
     try:
         data = file.read_bytes()
     except OSError as error:
         fail(BAD_CALL, f"{file}: {error.strerror}")
-    _tell_put(_run(keepers, WITHIN_S, lambda client: operator.put(client, service, str(file), data, expect)), json)
+    _tell_put(_run(keepers, WITHIN_S, lambda client: operations.put(client, service, str(file), data, expect)), json)
 
 
 @app.command()
 def get(service: Service, version: Annotated[int | None, typer.Option(min=1, help="Default: the newest.")] = None,
         keepers: Keepers = DEFAULT_KEEPER, json: Json = False) -> None:
     """Print a version's content; with --json, all that is stored of it."""
-    from mastlift.configuration import operator
+    from mastlift.configuration import operations
 
-    one = _run(keepers, WITHIN_S, lambda client: operator.get(client, service, version))
+    one = _run(keepers, WITHIN_S, lambda client: operations.get(client, service, version))
     typer.echo(mjson.encode(one).decode() if json else mjson.format(mjson.encode(one.content)).decode())
 
 
 @app.command()
 def history(service: Service, keepers: Keepers = DEFAULT_KEEPER, json: Json = False) -> None:
     """The versions that are kept, the newest first."""
-    from mastlift.configuration import operator
+    from mastlift.configuration import operations
 
-    versions = _run(keepers, WITHIN_S, lambda client: operator.history(client, service))
+    versions = _run(keepers, WITHIN_S, lambda client: operations.history(client, service))
     for one in reversed(versions):
         when = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(one.put_ms / 1000.0))
         if json:
@@ -95,9 +95,9 @@
 def revert(service: Service, version: Annotated[int, typer.Argument(min=1, help="One that `history` shows.")],
            expect: Expect = None, keepers: Keepers = DEFAULT_KEEPER, json: Json = False) -> None:
     """Store the content of an older version again, as a new and higher one."""
-    from mastlift.configuration import operator
+    from mastlift.configuration import operations
 
-    _tell_put(_run(keepers, WITHIN_S, lambda client: operator.revert(client, service, version, expect)), json)
+    _tell_put(_run(keepers, WITHIN_S, lambda client: operations.revert(client, service, version, expect)), json)
 
 
 @app.command()
@@ -108,15 +108,15 @@
     """How many of how many proxies have the newest version in force, since when, and which have not and why.
 
     Exit code 0 only if all have it."""
-    from mastlift.configuration import operator
+    from mastlift.configuration import operations
 
     names = [name.strip() for name in keepers.split(",")]
 
     async def work(client: Any) -> Any:
         end = time.monotonic() + within
         while True:
-            seen = await operator.status(client, names, service)
-            refused = any(one.where is operator.Where.REFUSED for one in seen.proxies)
+            seen = await operations.status(client, names, service)
+            refused = any(one.where is operations.Where.REFUSED for one in seen.proxies)
             if not wait or seen.is_everywhere or refused or time.monotonic() >= end:
                 return seen
             await asyncio.sleep(POLL_S)
--- a/mastlift/configuration/operator.py
+++ b/mastlift/configuration/operations.py
@@ -28,7 +28,6 @@
 from mastlift.discovery.lists import LIST
 from mastlift.keeper.client import KeeperClient, Unreachable, ask_each
 from mastlift.keeper.wire import value_of
-from mastlift.settings import BadSettings
 from mastlift.store.machine import LIST_BASE_KEY
 
 SILENT_MS = 10_000.0  # a proxy whose agent has not reported for so long counts as unknown
@@ -250,7 +249,3 @@
         where = Where.PENDING if behind else Where.AHEAD
         reason = reason or f"it has version {report.in_force}"
     return ProxyStatus(name, where, report.in_force, report.since_ms, reason, age_ms, report.hand_edits)
-
-
-__all__ = ["BadSettings", "Conflict", "NoVersion", "ProxyStatus", "ServiceStatus", "Standing", "Where", "current",
-           "gather", "get", "history", "judge", "put", "revert", "status"]
--- a/mastlift/lab/configfleet.py
+++ b/mastlift/lab/configfleet.py
@@ -15,7 +15,7 @@
 
 import orjson
 
-from mastlift.configuration import operator
+from mastlift.configuration import operations
 from mastlift.configuration.core import Reading
 from mastlift.configuration.endpoint import ProxyUnavailable, RealProxy
 from mastlift.configuration.versions import VersionId, rendered_version
@@ -125,11 +125,11 @@
 
 
 async def until_status(client: KeeperClient, keepers: Sequence[str], want: Any, within_s: float = 20.0,
-                       service: str = SERVICE) -> operator.ServiceStatus:
+                       service: str = SERVICE) -> operations.ServiceStatus:
     """The first status of which `want` is true. Raises TimeoutError with the last one."""
     end = time.monotonic() + within_s
     while True:
-        seen = await operator.status(client, keepers, service)
+        seen = await operations.status(client, keepers, service)
         if want(seen):
             return seen
         if time.monotonic() > end:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -12,7 +12,7 @@
 from cometdoor import control
 from mastlift.configuration import core as a
 from mastlift.configuration.checks import check_content
-from mastlift.configuration.operator import ServiceStatus, Where, gather
+from mastlift.configuration.operations import ServiceStatus, Where, gather
 from mastlift.configuration.saved import PROVEN_FILE, TARGET_FILE, SavedFile, load_saved, save_proven, save_target
 from mastlift.configuration.versions import (
     INSTALLED,
