Start proxies and their agents together in the lab

Need: the tests among processes took 45 s together. Change: agents wait for their proxies anyway, so both start at once.

--- a/mastlift/lab/benches/config.py
+++ b/mastlift/lab/benches/config.py
@@ -314,8 +314,7 @@
         lines = (one.folder / "agent.toml").read_text().partition("[timing]")[0]
         (one.folder / "agent.toml").write_text(lines)
     try:
-        await asyncio.gather(*(one.start_proxy() for one in made))
-        await asyncio.gather(*(one.start_agent() for one in made))
+        await asyncio.gather(*(one.start_proxy() for one in made), *(one.start_agent() for one in made))
         yield made
     finally:
         await asyncio.gather(*(one.close() for one in made))
--- a/mastlift/lab/configfleet.py
+++ b/mastlift/lab/configfleet.py
@@ -117,8 +117,7 @@
     """So many proxies with agents, all running; ended with the block."""
     made = [Machine(f"p{number}", folder / f"p{number}", keepers, service) for number in range(count)]
     try:
-        await asyncio.gather(*(one.start_proxy() for one in made))
-        await asyncio.gather(*(one.start_agent() for one in made))
+        await asyncio.gather(*(one.start_proxy() for one in made), *(one.start_agent() for one in made))
         yield made
     finally:
         await asyncio.gather(*(one.close() for one in made))
