--- a/tests/rig.py
+++ b/tests/rig.py
@@ -6,8 +6,8 @@
 import json
 import socket
 import struct
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from typing import Any
 from unittest import mock
@@ -120,6 +120,19 @@
             self._server.close()
 
 
+async def first_of(calls: Sequence[asyncio.Task[Call]]) -> Call:
+    """Of calls that are waited for, the one that comes first; the others are still waited for."""
+    done, _ = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+    return done.pop().result()
+
+
+async def first_call(backends: Sequence[FakeServer]) -> Call:
+    """The first call of any of several backends; whatever else comes stays in their queues."""
+    while all(backend.calls.empty() for backend in backends):
+        await asyncio.sleep(0)
+    return next(backend for backend in backends if not backend.calls.empty()).calls.get_nowait()
+
+
 class Script:
     """Takes the module's place: notes each event, and answers with what the test lays down."""
 
@@ -241,3 +254,12 @@
 
     async def caller(self) -> Caller:
         return Caller(*await asyncio.open_connection(*self.front.address()))
+
+
+@asynccontextmanager
+async def scripted_proxy(**settings: Any) -> AsyncIterator[tuple[FakeServer, Script, Rig]]:
+    """A proxy that sends all its requests to one backend, `s1`, unless the test lays down another reaction."""
+    backend = await FakeServer().start()
+    with Script().in_place() as script:
+        script.react = first_to("s1")
+        yield backend, script, await Rig().start(member("s1", backend.address), **settings)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -13,7 +13,7 @@
 
 from cometdoor.upstream import Connection
 from jasperhall.api import Outcome
-from tests.rig import FakeServer, Rig, Script, first_to, member, run
+from tests.rig import FakeServer, Rig, Script, first_of, first_to, member, run, scripted_proxy
 
 STALE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
 
@@ -21,10 +21,7 @@
 def test_a_second_answer_some_ms_late_is_not_the_next_request_s() -> None:
     """The next request comes at once, before the second answer."""
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (backend, _, rig):
             caller = await rig.caller()
             caller.ask()
             first = await backend.next()
@@ -44,31 +41,29 @@
 def test_what_lies_unread_on_a_resting_connection_ends_it_before_it_is_used(left: bytes | None) -> None:
     """A second answer, or the end, is in the machine's buffer while a request is about to be written."""
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.upstream.REST_S", 0.0):
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
-            caller = await rig.caller()
-            caller.ask("pay")
-            first = await backend.next()
-            first.reply(200, b"first")
-            assert (await caller.answer()).body == b"first"
-            send = rig.proxy._pool.send
-
-            def crossing(*what: object) -> bool:
-                raw = first.writer.transport.get_extra_info("socket")
-                if left is not None:
-                    os.write(raw.fileno(), left)
-                else:
-                    socket.socket(fileno=os.dup(raw.fileno())).shutdown(socket.SHUT_WR)
-                return send(*what)  # type: ignore[arg-type]
-            with mock.patch.object(rig.proxy._pool, "send", crossing):
+        with mock.patch("cometdoor.upstream.REST_S", 0.0):
+            async with scripted_proxy() as (backend, script, rig):
+                caller = await rig.caller()
                 caller.ask("pay")
-                second = await backend.next()
-            assert second.connection != first.connection
-            second.reply(200, b"second")
-            assert (await caller.answer()).body == b"second"
-            assert [outcome for _, outcome, _ in script.outcomes()] == [Outcome.OK] * 2
+                first = await backend.next()
+                first.reply(200, b"first")
+                assert (await caller.answer()).body == b"first"
+                send = rig.proxy._pool.send
+
+                def crossing(*what: object) -> bool:
+                    raw = first.writer.transport.get_extra_info("socket")
+                    if left is not None:
+                        os.write(raw.fileno(), left)
+                    else:
+                        socket.socket(fileno=os.dup(raw.fileno())).shutdown(socket.SHUT_WR)
+                    return send(*what)  # type: ignore[arg-type]
+                with mock.patch.object(rig.proxy._pool, "send", crossing):
+                    caller.ask("pay")
+                    second = await backend.next()
+                assert second.connection != first.connection
+                second.reply(200, b"second")
+                assert (await caller.answer()).body == b"second"
+                assert [outcome for _, outcome, _ in script.outcomes()] == [Outcome.OK] * 2
 
     run(test)
 
@@ -108,10 +103,7 @@
 def test_a_good_answer_before_the_last_byte_of_a_long_request_is_none(size: int) -> None:
     """A server begins with the last byte: this one can't be made for it."""
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (_, script, rig):
             caller = await rig.caller()
 
             async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -148,9 +140,8 @@
         rig = await Rig().start(*(member(f"s{i}", server.address, cell=i) for i, server in enumerate(servers)))
         caller = await rig.caller()
         caller.ask(kind)
-        tasks = [asyncio.ensure_future(server.next()) for server in servers]
-        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        call = done.pop().result()
+        tasks = [asyncio.create_task(server.next()) for server in servers]
+        call = await first_of(tasks)
         call.writer.write(SPOILT.get(spoilt, b"HTTP/1.1 200 OK\r\n\r\nall"))
         await call.writer.drain()
         if end == "reset":
@@ -162,9 +153,7 @@
             answer = await caller.answer()
             assert (answer.status, answer.body) == (200, b"all")
         elif kind == "read":
-            done, _ = await asyncio.wait([task for task in tasks if not task.done()],
-                                         return_when=asyncio.FIRST_COMPLETED)
-            done.pop().result().reply(200, b"again")
+            (await first_of([task for task in tasks if not task.done()])).reply(200, b"again")
             assert (await caller.answer()).body == b"again"
         else:
             assert (await caller.answer()).status in (502, 503)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -16,7 +16,7 @@
 
 from cometdoor import __main__ as program
 from cometdoor.frontend import ClientConnection
-from tests.rig import Caller, FakeServer, Rig, Script, first_to, make_config, member, run
+from tests.rig import Caller, FakeServer, Rig, first_call, make_config, member, run, scripted_proxy
 from tests.test_frontend import GOOD, head
 from tests.test_process import free_port, launch, until_serving
 
@@ -54,10 +54,7 @@
 def test_bytes_that_cross_the_end_of_a_resting_connection_reset_nothing(crossing: bytes, rested: bool) -> None:
     """SIGTERM, evacuation, handover and the time-out of a silent one end it the same way."""
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (backend, script, rig):
             if rested:
                 client = await raw_client(rig)
             else:
@@ -168,27 +165,20 @@
     async def test() -> None:
         backends = [await FakeServer().start() for _ in range(3)]
         rig = await Rig().start(*(member(f"s{i}", backend.address) for i, backend in enumerate(backends)))
-
-        async def first_call() -> object:
-            tasks = [asyncio.ensure_future(backend.next()) for backend in backends]
-            done, rest = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for task in rest:
-                task.cancel()
-            return done.pop().result()
         caller = await rig.caller()
         caller.ask(left="0.6" if state == "a backup is out" else "5.0")
-        call = await first_call()
+        call = await first_call(backends)
         body = b"x" * (60_000 if state == "its answer is read slowly" else 5)
         with short_times(flush_s=3.0):
             leaving = asyncio.ensure_future(program.leave(rig.config, rig.proxy, rig.front, rig.life))
             while rig.front.is_listening():
                 await asyncio.sleep(0)
             if state == "a retry is pending":
-                call.reset()  # type: ignore[attr-defined]
-                call = await first_call()
+                call.reset()
+                call = await first_call(backends)
             elif state == "a backup is out":
-                call = await first_call()  # the first one hangs
-            call.reply(200, body)  # type: ignore[attr-defined]
+                call = await first_call(backends)  # the first one hangs
+            call.reply(200, body)
             answer = await caller.answer()
             assert (answer.status, answer.body, answer.headers["connection"]) == (200, body, "close")
             caller.writer.close()
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -11,7 +11,7 @@
 
 from cometdoor.config import BadConfig, load_config
 from jasperhall import api
-from tests.rig import LANES, Call, FakeServer, Rig, Script, first_to, member, run
+from tests.rig import LANES, FakeServer, Rig, first_call, member, run, scripted_proxy
 from tests.test_retune import Running, base, new_lanes, setting, written
 
 NO_NUMBERS: list[Any] = ["3", True, [], {}, -1, -0.5]
@@ -81,10 +81,7 @@
     lanes = [{**LANES[0], "name": name, "deadline_ms": 1000.0 + place} for place, name in enumerate(names)]
 
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address), lanes=lanes)
+        async with scripted_proxy(lanes=lanes) as (backend, script, rig):
             caller = await rig.caller()
             for place, name in enumerate(names):
                 caller.ask_of(name)
@@ -122,20 +119,12 @@
                                 fees={"cross_zone": 0.1})
         caller = await rig.caller()
         caller.ask("pay")
-        (await first_of(backends)).reply(200, b"x")
+        (await first_call(backends)).reply(200, b"x")
         assert (await caller.answer()).status == 200
 
     run(test)
 
 
-async def first_of(backends: list[FakeServer]) -> Call:
-    tasks = [asyncio.ensure_future(backend.next()) for backend in backends]
-    done, rest = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-    for task in rest:
-        task.cancel()
-    return done.pop().result()
-
-
 def test_a_class_takes_its_effect_attempts_and_window_from_the_settings_alone(tmp_path: Path) -> None:
     """The names of one customer with the rules of another: `read` must not run twice, `pay` may."""
     lanes = [{**LANES[2], "name": "read"}, {**LANES[1], "name": "book", "key_ttl_ms": 0.0}, {**LANES[0], "name": "pay"}]
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -13,7 +13,7 @@
 from cometdoor.frontend import LOOK_FOR_END_S, LOOK_FOR_RESET_S
 from cometdoor.upstream import Connection
 from jasperhall import api
-from tests.rig import Call, Caller, FakeServer, Rig, Script, first_to, member, run
+from tests.rig import Call, Caller, FakeServer, Rig, Script, first_call, first_to, member, run, scripted_proxy
 
 GONE_S = 0.1  # of the terms
 
@@ -65,10 +65,7 @@
                                                                      ahead: int) -> None:
     """From the fourth on the connection is not read, and tells of its end to nobody who does not look."""
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (backend, _, rig):
             caller = await rig.caller()
             for number in range(1 + ahead):
                 caller.ask(trace=f"t{number}")
@@ -183,9 +180,7 @@
         caller = await rig.caller()
         for number in range(6):
             caller.ask(trace=f"t{number}", left="0.5")
-        done, _ = await asyncio.wait([asyncio.ensure_future(server.next()) for server in servers],
-                                     return_when=asyncio.FIRST_COMPLETED)
-        call = done.pop().result()
+        call = await first_call(servers)
         leave(caller)
         await call.closed()  # the attempt is called off, so no delay runs out
         await asyncio.sleep(0.5)  # and the time to the backup passes
@@ -216,10 +211,7 @@
 
 def test_a_burst_of_clients_that_leave_at_once_leaves_nothing_behind() -> None:
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (backend, _, rig):
             callers = [await rig.caller() for _ in range(90)]
             for number, caller in enumerate(callers):
                 for place in range(1 + number % 7):
@@ -242,10 +234,7 @@
 @pytest.mark.parametrize("ahead", [0, 2, 6])
 def test_one_that_ended_its_sending_gets_all_its_answers(ahead: int) -> None:
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (backend, _, rig):
             caller = await rig.caller()
             for number in range(1 + ahead):
                 caller.ask(trace=f"t{number}")
@@ -267,10 +256,7 @@
 
 def test_one_that_ended_its_sending_and_then_closes_has_gone() -> None:
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (backend, script, rig):
             caller = await rig.caller()
             caller.ask()
             await backend.next()
@@ -301,10 +287,7 @@
 def test_one_of_http_1_0_that_ended_its_sending_has_gone() -> None:
     """It knows no interim answers, so nothing can tell its half-close from a close."""
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (backend, script, rig):
             caller = await rig.caller()
             caller.writer.write(b"GET /read/1 HTTP/1.0\r\nX-Trace-Id: t\r\nX-Qos: read\r\nX-Expires-In: 9\r\n\r\n")
             await backend.next()
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -14,7 +14,7 @@
 from jasperhall import api
 from jasperhall.api import Outcome
 from tests.harness import KEYED, SAFE, SETTINGS, UNSAFE, Checker, servers
-from tests.rig import FakeServer, Rig, Script, first_to, member, run
+from tests.rig import FakeServer, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_simhost import INFO
 
 
@@ -78,21 +78,19 @@
 def test_an_attempt_whose_time_is_over_when_its_connection_is_up_is_never_written() -> None:
     """The loop may get round to the connection before it gets round to the time-out."""
     async def test() -> None:
-        backend = await FakeServer().start()
         up = asyncio.Event()
-        with Script().in_place() as script, connections_come_up_at(up, "s1"):
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address), limits={"connect_timeout_ms": 9000.0})
-            caller = await rig.caller()
-            caller.ask("pay")
-            while not rig.proxy._requests:
-                await asyncio.sleep(0)
-            (request,) = rig.proxy._requests.values()
-            request.attempts[0].until = 0.0
-            up.set()
-            assert (await caller.answer()).status == 502
-            assert script.outcomes() == [(0, Outcome.CONNECT_FAILED, False)]
-            assert backend.calls.empty()
+        with connections_come_up_at(up, "s1"):
+            async with scripted_proxy(limits={"connect_timeout_ms": 9000.0}) as (backend, script, rig):
+                caller = await rig.caller()
+                caller.ask("pay")
+                while not rig.proxy._requests:
+                    await asyncio.sleep(0)
+                (request,) = rig.proxy._requests.values()
+                request.attempts[0].until = 0.0
+                up.set()
+                assert (await caller.answer()).status == 502
+                assert script.outcomes() == [(0, Outcome.CONNECT_FAILED, False)]
+                assert backend.calls.empty()
 
     run(test)
 
