Test that time which passed while the loop was held counts at the first byte

The client's time and the key's window, each over when a connection that came up meanwhile is taken. Both hold on the present text: `Attempt.may_start` reads the clock at the first byte. Without that line the window's test fails; the client's own time is caught by its timer too, which the loop takes first.

--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import json
+import math
 import socket
 import struct
 import time
@@ -341,6 +342,43 @@
     run(test)
 
 
+# --- time that passed meanwhile ---
+
+
+@pytest.mark.parametrize(("left", "window_ms"), [("0.25", math.inf), ("9.0", 100.0)])
+def test_a_connection_that_comes_up_when_the_time_is_over_is_not_written(left: str, window_ms: float) -> None:
+    """The client's time, or the key's window: the clock is read at the first byte, not once a turn."""
+    async def test() -> None:
+        backend = await FakeServer().start()
+        up = asyncio.Event()
+        open_connection = Connection._connect
+
+        async def late(connection: Connection) -> None:
+            await up.wait()
+            await open_connection(connection)
+
+        def react(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.RequestArrived):
+                return [api.Send(event.request, "s1", start_within_ms=window_ms)]
+            if isinstance(event, api.AttemptEnded) and not event.final:
+                return [api.Fail(event.request)]
+            return []
+        with Script().in_place() as script, mock.patch.object(Connection, "_connect", late):
+            script.react = react
+            rig = await Rig().start(member("s1", backend.address), limits={"connect_timeout_ms": 9000.0})
+            caller = await rig.caller()
+            caller.ask("pay", left=left)
+            while not rig.proxy._requests:
+                await asyncio.sleep(0)
+            up.set()
+            hold_the_loop()
+            assert (await caller.answer()).status == 502
+            script.react = first_to("s1")
+            await nothing_begins(rig, backend)
+
+    run(test)
+
+
 # --- what makes it late ---
 
 
