--- a/mastlift/cli.py
+++ b/mastlift/cli.py
@@ -383,10 +383,12 @@
 
 @app.command("bench")
 @plainly
-def bench(name: Annotated[str, typer.Argument(help="durable, consensus, discovery or config")],
+def bench(name: Annotated[str, typer.Argument(help="durable, consensus, discovery, config or capacity")],
           quick: Annotated[bool, typer.Option("--quick", help="Within 50 s on 8 cores.")] = False,
           json: Annotated[Path | None, typer.Option(help="Write the figures to this file, one flat object.")] = None,
-          report: Annotated[Path | None, typer.Option(help="Draw plots into this folder, PNG.")] = None) -> None:
+          report: Annotated[Path | None, typer.Option(help="Draw plots into this folder, PNG.")] = None,
+          only: Annotated[str, typer.Option(help="Only these steps, by commas, where a bench has steps.")] = "",
+          ) -> None:
     """Measure a part against a baseline in the same run. Ratios; an absolute time alone says little."""
     from rich.console import Console
     from rich.table import Table
@@ -396,10 +398,14 @@
 
     if name not in benches.NAMES:
         fail(BAD_CALL, f"there is no bench '{name}'; there are: {', '.join(benches.NAMES)}")
+    try:
+        measure = benches.load(name, [step.strip() for step in only.split(",") if step.strip()])
+    except benches.UnknownStep as error:
+        fail(BAD_CALL, f"--only: {error}")
     start_logging(LogForm.JSON)
     console, drawn = Console(stderr=True), Report(report)
     with console.status("") as status:
-        figures = benches.load(name)(quick, lambda step: status.update(f"{name}: {step}"), drawn)
+        figures = measure(quick, lambda step: status.update(f"{name}: {step}"), drawn)
     if json is not None:
         json.write_bytes(msgspec.json.format(msgspec.json.encode(figures)) + b"\n")
     table = Table("figure", "value", box=None)
--- a/mastlift/lab/capacity/faults.py
+++ b/mastlift/lab/capacity/faults.py
@@ -90,7 +90,7 @@
     living = Counter(service_name(one.calls) for one in fleet.members(others))
     outcome, departures = Outcome(len(silent)), _Departures(fleet, silent, living)
     await asyncio.sleep(BEFORE_S)
-    await fleet.report(_workers(fleet, fleet.domains))
+    await fleet.report(_workers(fleet, fleet.domains), take=True)
     for one in _workers(fleet, domains):
         one.pause()
     began, killed = time.monotonic(), not kill_leader
@@ -99,21 +99,23 @@
         if not killed and time.monotonic() - began > ttl_s / 2:
             killed = True
             await fleet.group.kill(await fleet.group.leader())
-        for measured in await fleet.report(_workers(fleet, others)):
+        for measured in await fleet.report(_workers(fleet, others), take=True):
             departures.take(measured.departures)
         if killed and len(departures.complete()) == len(silent):
             break
     outcome.gone = len(departures.complete())
     outcome.gone_first_s, outcome.gone_last_s = departures.bounds(began)
     outcome.held = await _held(fleet)
-    counted = fleet.domains.keys() if returns else others
+    counted = list(fleet.domains) if returns else others
     if returns:
         await _return(fleet, domains, outcome, {one.id for one in members})
     else:
         for one in _workers(fleet, domains):
             await one.end()
+        for name in domains:
+            del fleet.domains[name]
     await asyncio.sleep(AFTER_S)
-    reports = await fleet.report(_workers(fleet, counted))
+    reports = await fleet.report(_workers(fleet, counted), take=True)
     for measured in reports:
         departures.take(measured.departures)
     outcome.living_dropped = sorted(departures.living_dropped)
--- a/mastlift/lab/capacity/fleet.py
+++ b/mastlift/lab/capacity/fleet.py
@@ -163,8 +163,8 @@
                            client_rates(before[0], after[0], count, True),
                            client_rates(before[1], after[1], count, False))
 
-    async def report(self, workers: list[Worker]) -> list[Measured]:
-        return list(await asyncio.gather(*(one.report() for one in workers)))
+    async def report(self, workers: list[Worker], take: bool = False) -> list[Measured]:
+        return list(await asyncio.gather(*(one.report(take) for one in workers)))
 
     async def list_base(self) -> int:
         """What the published revisions are above the store's."""
@@ -209,7 +209,7 @@
         end = time.monotonic() + ARRIVAL_S
         expected = sum(self.watches_of(one.service) for one in changes)
         while True:
-            for measured in await self.report(self.proxy_workers):
+            for measured in await self.report(self.proxy_workers, take=True):
                 deliveries += measured.deliveries
             found = matched(changes, deliveries, expected)
             if len(found.since_sent_ms) >= expected or time.monotonic() > end:
--- a/mastlift/lab/capacity/hollow.py
+++ b/mastlift/lab/capacity/hollow.py
@@ -75,7 +75,9 @@
 
 
 class Report(msgspec.Struct, tag="report", frozen=True):
-    """Answered with a `Measured`; what was recorded of changes and departures begins anew."""
+    """Answered with a `Measured`; with `take`, also with what was recorded since the last such report."""
+
+    take: bool = False
 
 
 Command = Begin | AddProxies | Register | TakeDuties | Report
@@ -100,7 +102,7 @@
 
 
 class Measured(msgspec.Struct, frozen=True):
-    """The state of a hollow process since its start; deliveries and departures since the last report."""
+    """The state of a hollow process since its start; deliveries and departures since they were last taken."""
 
     at: float
     cpu_s: float
@@ -209,7 +211,7 @@
             case TakeDuties():
                 await self._take_duties(command)
             case Report():
-                return Answer(measured=self._measure())
+                return Answer(measured=self._measure(command.take))
         return Answer(took_s=time.monotonic() - began)
 
     async def _client(self) -> KeeperClient:
@@ -242,10 +244,10 @@
         else:
             self._takes += [asyncio.create_task(one.take()) for one in added]
 
-    def _measure(self) -> Measured:
+    def _measure(self, take: bool) -> Measured:
         ports = {int(address.rpartition(":")[2]) for address in self._keepers}
         used = resource.getrusage(resource.RUSAGE_SELF)
-        deliveries, departures = self._recorder.take()
+        deliveries, departures = self._recorder.take() if take else ([], [])
         return Measured(
             at=time.monotonic(), cpu_s=used.ru_utime + used.ru_stime, rss_kb=_rss_kb(),
             watch_traffic=total(one for port, one in self._loop.traffic.items() if port not in ports),
--- a/mastlift/lab/capacity/workers.py
+++ b/mastlift/lab/capacity/workers.py
@@ -48,8 +48,8 @@
             raise HollowFailed(answer.error)
         return answer
 
-    async def report(self) -> Measured:
-        measured = (await self.ask(Report())).measured
+    async def report(self, take: bool = False) -> Measured:
+        measured = (await self.ask(Report(take))).measured
         assert measured is not None
         return measured
 
