--- a/mastlift/lab/benches/__init__.py
+++ b/mastlift/lab/benches/__init__.py
@@ -15,7 +15,8 @@
          "consensus": "a group of keepers against one alone, its failovers, and duties changing hands",
          "discovery": "lists told to many watches against bare writes, a herd's way back, and renewals",
          "config": "configuration from a put to in force at all agents, also across an election, and an agent's cost",
-         "capacity": "what the planned fleet costs keepers and clients, from slopes over its size"}
+         "capacity": "what the planned fleet costs keepers and clients, from slopes over its size",
+         "proxy": "the time that a proxy adds to a call, against direct calls, and where its tail comes from"}
 
 
 class UnknownStep(ValueError):
--- a/mastlift/lab/capacity/group.py
+++ b/mastlift/lab/capacity/group.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import time
 from collections.abc import AsyncIterator
@@ -12,10 +13,11 @@
 
 from mastlift.keeper.client import ask_each
 from mastlift.lab.capacity.placement import service_name
-from mastlift.lab.processes import Child, free_address, keeper, keeper_settings
+from mastlift.lab.processes import Child, keeper, keeper_settings
 
 LEADER_S = 15.0
 POLL_S = 0.02
+KEEPER_PORT, LISTS_PORT = 7500, 7600
 WHOLE_LISTS_PER_S, WHOLE_LISTS_AT_ONCE = 200, 100  # the defaults of the settings
 
 
@@ -48,21 +50,21 @@
         await self.children.pop(name).end(signal.SIGKILL)
 
 
-def _free_addresses(count: int) -> list[str]:
-    """All different."""
-    found: dict[str, None] = {}
-    while len(found) < count:
-        found[free_address()] = None
-    return list(found)
+def _hosts(names: str) -> dict[str, str]:
+    """A loopback address of its own for each keeper, so that its ports are not taken by others' connections: those
+    leave from 127.0.0.1, and hundreds of free ports there don't stay free."""
+    second, third = random.randrange(1, 255), random.randrange(1, 255)
+    return {name: f"127.{second}.{third}.{number}" for number, name in enumerate(names, 1)}
 
 
 @contextlib.asynccontextmanager
 async def keeper_group(folder: Path, services: int, names: str = "abc",
                        **discovery: Any) -> AsyncIterator[KeeperGroup]:
     """Keepers that are ready and have a leader; each has one listening address a service."""
-    free = iter(_free_addresses(len(names) * (services + 1)))
-    addresses = {name: next(free) for name in names}
-    tiers = {name: {service_name(number): next(free) for number in range(services)} for name in names}
+    hosts = _hosts(names)
+    addresses = {name: f"{host}:{KEEPER_PORT}" for name, host in hosts.items()}
+    tiers = {name: {service_name(number): f"{host}:{LISTS_PORT + number}" for number in range(services)}
+             for name, host in hosts.items()}
     section = {"whole_per_s": WHOLE_LISTS_PER_S, "whole_at_once": WHOLE_LISTS_AT_ONCE, **discovery}
     began = time.monotonic()
     async with contextlib.AsyncExitStack() as stack:
--- a/mastlift/lab/fleet.py
+++ b/mastlift/lab/fleet.py
@@ -48,8 +48,9 @@
 
 @contextlib.asynccontextmanager
 async def proxy(folder: Path, backends: dict[str, str], discovery: str | list[str] = "127.0.0.1:1",
-                list_file: Path | None = None, must_ask: bool = False) -> AsyncIterator[tuple[str, Child]]:
-    """A real proxy before the named backends; its address and process."""
+                list_file: Path | None = None, must_ask: bool = False,
+                program: tuple[str, ...] = ("-m", "cometdoor")) -> AsyncIterator[tuple[str, Child]]:
+    """A real proxy before the named backends; its address and process. `program` are Python's arguments."""
     listen = free_address()
     folder.mkdir(parents=True, exist_ok=True)
     members = [{"id": name, "host_port": address, "locality": "a", "flavor": "std", "cell": 0, "phase": "in_service",
@@ -61,7 +62,7 @@
               "known": {"revision": 1, "complete": True, "members": members}}
     path = folder / "proxy.json"
     path.write_text(json.dumps(config))
-    async with started("-m", "cometdoor", environment={"NODE_CONFIG": str(path)}) as child:
+    async with started(*program, environment={"NODE_CONFIG": str(path)}) as child:
         await child.line("serves on")
         yield listen, child
 
