--- a/mastlift/lab/capacity/fleet.py
+++ b/mastlift/lab/capacity/fleet.py
@@ -20,7 +20,7 @@
 from mastlift.lab.capacity import plan
 from mastlift.lab.capacity.counting import Traffic, total
 from mastlift.lab.capacity.group import KeeperGroup
-from mastlift.lab.capacity.hollow import AddProxies, Begin, Delivery, HollowServer, Measured, Register
+from mastlift.lab.capacity.hollow import AddProxies, Begin, Delivery, HollowServer, Measured, Register, SetDecisions
 from mastlift.lab.capacity.placement import Backend, place, service_name
 from mastlift.lab.capacity.usage import Rates, Usage, rates, usage
 from mastlift.lab.capacity.workers import Worker, worker
@@ -166,6 +166,10 @@
     async def report(self, workers: list[Worker], take: bool = False) -> list[Measured]:
         return list(await asyncio.gather(*(one.report(take) for one in workers)))
 
+    async def set_decisions(self, enabled: bool) -> None:
+        """See `SetDecisions`."""
+        await asyncio.gather(*(one.ask(SetDecisions(enabled)) for one in self.proxy_workers))
+
     async def list_base(self) -> int:
         """What the published revisions are above the store's."""
         entry = await self.client.get(LIST_BASE_KEY)
--- a/mastlift/lab/capacity/hollow.py
+++ b/mastlift/lab/capacity/hollow.py
@@ -74,13 +74,20 @@
     wait: bool
 
 
+class SetDecisions(msgspec.Struct, tag="set_decisions", frozen=True):
+    """Whether what is delivered goes on to the decisions. Clients that share a process wait for each other's: without
+    them, times are closer to those of a process each."""
+
+    enabled: bool
+
+
 class Report(msgspec.Struct, tag="report", frozen=True):
     """Answered with a `Measured`; with `take`, also with what was recorded since the last such report."""
 
     take: bool = False
 
 
-Command = Begin | AddProxies | Register | TakeDuties | Report
+Command = Begin | AddProxies | Register | TakeDuties | SetDecisions | Report
 
 
 class Departure(msgspec.Struct, frozen=True):
@@ -174,6 +181,7 @@
 
     def __init__(self, service: str, addresses: list[str], recorder: Recorder, seed: int) -> None:
         self._balancer = Balancer(read_settings(SETTINGS), seed)
+        self.decides = True
         loop = asyncio.get_running_loop()
         reader = ListReader(SETTINGS["zones"], SETTINGS["host_types"])
         self.discovery = RecordedDiscovery(service, recorder, loop, read_addresses(addresses), reader, False, {},
@@ -181,7 +189,8 @@
         self.discovery.start()
 
     def _deliver(self, change: ListChanged, addresses: dict[str, Address]) -> None:
-        self._balancer.handle(change, time.monotonic() * 1000.0)
+        if self.decides:
+            self._balancer.handle(change, time.monotonic() * 1000.0)
 
 
 class HollowProcess:
@@ -210,6 +219,9 @@
                 await self._register(command.servers)
             case TakeDuties():
                 await self._take_duties(command)
+            case SetDecisions():
+                for one in self._proxies:
+                    one.decides = command.enabled
             case Report():
                 return Answer(measured=self._measure(command.take))
         return Answer(took_s=time.monotonic() - began)
