Interleave the experiments on the proxy's tail, and work out its floor without noise

The tail that a core of its own would leave follows from the measured processor time (M/D/1 by Lindley's recursion). Unit tests in tests/test_capacity.py pass.

--- a/mastlift/lab/benches/proxy.py
+++ b/mastlift/lab/benches/proxy.py
@@ -25,7 +25,7 @@
 from mastlift.lab.capacity import plan
 from mastlift.lab.capacity.answering import Addresses
 from mastlift.lab.capacity.openloop import Job, LoadResult
-from mastlift.lab.capacity.tails import Latencies, added, chain, latencies
+from mastlift.lab.capacity.tails import Latencies, added, chain, latencies, queueing
 from mastlift.lab.capacity.usage import rss_mb
 from mastlift.lab.capacity.variant import Durations
 from mastlift.lab.fleet import proxy
@@ -37,6 +37,7 @@
 BACKENDS, MANY_BACKENDS = 9, 100
 WARM_UP_S = 0.8
 CHAIN_DRAWS = 20_000
+QUEUE_DRAWS = 200_000
 VARIANT = ("-m", "mastlift.lab.capacity.variant")
 EXPERIMENTS = {"plain": ("-m", "cometdoor"), "no_gc": (*VARIANT, "no-gc"), "no_log": (*VARIANT, "no-log")}
 
@@ -47,9 +48,12 @@
 
     window_s: float
     rounds: int
+    tail_window_s: float
+    tail_rounds: int
 
 
-QUICK, FULL = Form(2.5, 1), Form(6.0, 2)
+QUICK = Form(window_s=2.5, rounds=1, tail_window_s=1.0, tail_rounds=2)
+FULL = Form(window_s=6.0, rounds=2, tail_window_s=2.5, tail_rounds=5)
 
 
 @dataclass(slots=True)
@@ -64,6 +68,14 @@
     calls: int = 0
     rss_mb: float = 0.0
 
+    def note(self, direct: LoadResult, proxied: LoadResult) -> None:
+        """One window of each."""
+        self.calls += len(proxied.latency_ms)
+        self.direct_ms += direct.latency_ms
+        self.proxied_ms += proxied.latency_ms
+        self.late_ms += proxied.late_ms
+        self.failed += direct.failed + proxied.failed
+
     @property
     def direct(self) -> Latencies:
         return latencies(self.direct_ms)
@@ -124,11 +136,7 @@
         before = cpu_s(pid)
         proxied = await load(Job([address], per_s, form.window_s, number, new_connections))
         found.cpu_s += cpu_s(pid) - before
-        found.calls += len(proxied.latency_ms)
-        found.direct_ms += direct.latency_ms
-        found.proxied_ms += proxied.latency_ms
-        found.late_ms += proxied.late_ms
-        found.failed += direct.failed + proxied.failed
+        found.note(direct, proxied)
     found.rss_mb = rss_mb(pid)
     return found
 
@@ -155,6 +163,8 @@
             run.tell(f"{per_s} calls a second")
             found = await pair(run.form, behind, address, child, per_s)
             run.figures |= figures_of(f"rate_{per_s}", found)
+            work_ms = found.cpu_s * 1000.0 / max(1, found.calls)
+            run.figures[f"rate_{per_s}_alone_ms_p99"] = queueing(work_ms, per_s, QUEUE_DRAWS, seed=1).p99
             run.report.histogram(f"latency_{per_s}", f"Latency at {per_s} calls a second", "ms",
                                  {"direct": found.direct_ms, "proxied": found.proxied_ms})
             if per_s == PLANNED_RATE:
@@ -178,18 +188,40 @@
 
 
 async def tail(run: Run, folder: Path) -> None:
-    """One experiment for each cause that the tail may have, at the planned rate. `plain` is the proxy as it is."""
+    """One experiment for each cause that the tail may have, at the planned rate. `plain` is the proxy as it is. Windows
+    of all experiments take turns, so that what else the machine does falls on each alike."""
+    form = run.form
+    async with answering(BACKENDS) as behind, contextlib.AsyncExitStack() as stack:
+        proxies = {name: await stack.enter_async_context(proxy_of(folder / name, behind, program))
+                   for name, program in EXPERIMENTS.items()}
+        found = {name: Pair() for name in (*EXPERIMENTS, "new_connections")}
+        for address, _ in proxies.values():
+            await load(Job([address], PLANNED_RATE, WARM_UP_S, 99))
+        for number in range(form.tail_rounds):
+            run.tell(f"tail: round {number + 1} of {form.tail_rounds}")
+            direct = await load(Job(behind.backends, PLANNED_RATE, form.tail_window_s, number))
+            for name, (address, child) in proxies.items():
+                proxied = await _counted(found[name], address, child, form.tail_window_s, number)
+                found[name].note(direct, proxied)
+            address, child = proxies["plain"]
+            fresh = await load(Job(behind.backends, PLANNED_RATE, form.tail_window_s, number, True))
+            found["new_connections"].note(
+                fresh, await _counted(found["new_connections"], address, child, form.tail_window_s, number, True))
+    for name, one in found.items():
+        run.figures |= figures_of(f"tail_{name}", one)
+    run.tell("tail: decisions and collections")
     async with answering(BACKENDS) as behind:
-        for name, program in EXPERIMENTS.items():
-            run.tell(f"tail: {name}")
-            async with proxy_of(folder / name, behind, program) as (address, child):
-                run.figures |= figures_of(f"tail_{name}", await pair(run.form, behind, address, child, PLANNED_RATE))
-                if name == "plain":
-                    run.tell("tail: new connections")
-                    run.figures |= figures_of("tail_new_connections", await pair(
-                        run.form, behind, address, child, PLANNED_RATE, new_connections=True))
-        run.tell("tail: decisions and collections")
-        run.figures |= await _durations(run.form, behind, folder / "timed")
+        run.figures |= await _durations(form, behind, folder / "timed")
+
+
+async def _counted(found: Pair, address: str, child: Child, seconds: float, seed: int,
+                   new_connections: bool = False) -> LoadResult:
+    """Calls through one proxy at the planned rate, and its processor time."""
+    before = cpu_s(child.process.pid)
+    result = await load(Job([address], PLANNED_RATE, seconds, seed, new_connections))
+    found.cpu_s += cpu_s(child.process.pid) - before
+    found.rss_mb = rss_mb(child.process.pid)
+    return result
 
 
 async def _durations(form: Form, behind: Addresses, folder: Path) -> Figures:
--- a/mastlift/lab/capacity/tails.py
+++ b/mastlift/lab/capacity/tails.py
@@ -34,6 +34,15 @@
                      min(direct.samples, proxied.samples))
 
 
+def queueing(work_ms: float, per_s: float, draws: int, seed: int) -> Latencies:
+    """Times in a queue with one server, constant work and Poisson arrivals (M/D/1): what calls would take on a core of
+    their own, without any other noise. The waits follow from Lindley's recursion."""
+    gaps_ms = np.random.default_rng(seed).exponential(1000.0 / per_s, size=draws)
+    steps = np.concatenate(([0.0], np.cumsum(work_ms - gaps_ms)))
+    waits = steps - np.minimum.accumulate(steps)
+    return latencies((waits + work_ms).tolist())
+
+
 def chain(direct: Sequence[float], proxied: Sequence[float], hops: int, draws: int, seed: int) -> Latencies:
     """What so many hops add to a call, by resampling: sums of independent draws from the measured distributions.
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -26,7 +26,7 @@
 from mastlift.lab.capacity.placement import RACK_SIZE, place, service_name
 from mastlift.lab.capacity.plan import FleetSize
 from mastlift.lab.capacity.slopes import LinearCost, Observation, TooFewObservations, fit
-from mastlift.lab.capacity.tails import added, chain, latencies
+from mastlift.lab.capacity.tails import added, chain, latencies, queueing
 from mastlift.lab.capacity.usage import Rates
 from mastlift.lab.plots import Report
 
@@ -205,6 +205,13 @@
     assert abs(found.p50) < 1.0 and abs(found.p99) < 3.0
 
 
+def test_a_queue_takes_the_work_alone_when_idle_and_more_when_busy() -> None:
+    assert queueing(0.5, 0.001, 1000, seed=1).p99 == pytest.approx(0.5)
+    # M/D/1 at a load of 0.5: the mean wait is half the work; calls that don't wait are half of all.
+    half = queueing(1.0, 500.0, 200_000, seed=2)
+    assert half.p50 == pytest.approx(1.0, abs=0.05) and 3.0 < half.p99 < 6.0
+
+
 @given(st.integers(1, 1000), st.floats(0.5, 5.0), st.integers(0, 99))
 def test_intended_times_do_not_depend_on_answers(per_s: int, seconds: float, seed: int) -> None:
     job = Job(["127.0.0.1:1"], per_s, seconds, seed)
@@ -222,7 +229,7 @@
 def test_the_call_path_is_measured_in_small(tmp_path: Path) -> None:
     async def play() -> None:
         async with answering(3) as behind, proxy_of(tmp_path, behind, (*VARIANT, "no-log")) as (address, child):
-            found = await pair(Form(0.7, 1), behind, address, child, 60)
+            found = await pair(Form(0.7, 1, 0.5, 1), behind, address, child, 60)
         assert found.failed == 0
         assert len(found.direct_ms) == len(found.proxied_ms) == found.calls > 10
         told = figures_of("x", found)
