--- a/mastlift/lab/benches/capacity.py
+++ b/mastlift/lab/benches/capacity.py
@@ -59,12 +59,13 @@
     duties: tuple[int, ...]
     beside: tuple[int, ...]  # real processes beside as many hollow ones
     beside_s: float
+    beside_at_once: bool
 
 
 QUICK = Form(sizes=(225, 450, 900), window_s=2.0, windows=1, changes_s=1.5, fault_backends=225, fault_ttl_ms=2000,
-             duties=(49, 98), beside=(1, 10), beside_s=4.0)
+             duties=(49, 98), beside=(1, 10), beside_s=8.0, beside_at_once=True)
 FULL = Form(sizes=(225, 450, 900, 1800), window_s=5.0, windows=2, changes_s=5.0, fault_backends=900,
-            fault_ttl_ms=TTL_MS, duties=(49, 98, 196), beside=(1, 10, 50), beside_s=8.0)
+            fault_ttl_ms=TTL_MS, duties=(49, 98, 196), beside=(1, 10, 50), beside_s=8.0, beside_at_once=False)
 
 
 @dataclass(slots=True)
@@ -277,11 +278,16 @@
 
 async def honesty(run: Run, folder: Path) -> None:
     """Real processes beside as many hollow ones."""
-    for count in run.form.beside:
+    async def one(count: int) -> None:
         run.tell(f"{count} real processes of each kind beside as many hollow ones")
-        found = await compare(folder / str(count), count, run.form.beside_s)
-        for kind, one in found.items():
-            run.figures |= _comparison(f"{kind}_{count}", one)
+        for kind, comparison in (await compare(folder / str(count), count, run.form.beside_s)).items():
+            run.figures |= _comparison(f"{kind}_{count}", comparison)
+
+    if run.form.beside_at_once:
+        await asyncio.gather(*map(one, run.form.beside))
+        return
+    for count in run.form.beside:
+        await one(count)
 
 
 def _comparison(name: str, one: Comparison) -> Figures:
--- a/mastlift/lab/capacity/fleet.py
+++ b/mastlift/lab/capacity/fleet.py
@@ -28,6 +28,7 @@
 
 RACK = "rack"  # the first rack of zone 0 has hollow processes of its own, so that it can fail alone
 ARRIVAL_S = 3.0  # for the last change of a load to reach all watches
+ProcessDelivery = tuple[int, Delivery]  # the number of the hollow process, and what one of its watches had
 
 
 class LeaderChanged(Exception):
@@ -212,32 +213,37 @@
     async def propagation(self, changes: list[Change]) -> Propagation:
         """Of these changes, since the workers' last reports. Waits for the last of them."""
         await asyncio.sleep(ARRIVAL_S / 3)
-        deliveries: list[Delivery] = []
+        deliveries: list[ProcessDelivery] = []
         end = time.monotonic() + ARRIVAL_S
         expected = sum(self.watches_of(one.service) for one in changes)
         while True:
-            for measured in await self.report(self.proxy_workers, take=True):
-                deliveries += measured.deliveries
+            for process, measured in enumerate(await self.report(self.proxy_workers, take=True)):
+                deliveries += [(process, one) for one in measured.deliveries]
             found = matched(changes, deliveries, expected)
             if len(found.since_sent_ms) >= expected or time.monotonic() > end:
                 return found
 
 
-def matched(changes: list[Change], deliveries: Iterable[Delivery], expected: int) -> Propagation:
-    """Each change with the line that brought it: of the first published revision from its own on, since changes that
-    come close together are published as one."""
-    by_service: dict[str, dict[int, list[float]]] = {}
-    for delivery in deliveries:
-        by_service.setdefault(delivery.service, {}).setdefault(delivery.revision, []).extend(delivery.at)
-    revisions = {service: sorted(lines) for service, lines in by_service.items()}
+def matched(changes: list[Change], deliveries: Iterable[ProcessDelivery], expected: int) -> Propagation:
+    """Each change with the line that brought it to each watch: that of the first published revision from its own on,
+    since a keeper publishes changes that come close together as one, and each keeper others."""
+    lines: dict[str, dict[tuple[int, int], list[tuple[int, float]]]] = {}
+    for process, delivery in deliveries:
+        watches = lines.setdefault(delivery.service, {})
+        for at, watch in zip(delivery.at, delivery.watches, strict=True):
+            watches.setdefault((process, watch), []).append((delivery.revision, at))
+    for watches in lines.values():
+        for each in watches.values():
+            each.sort()
     found = Propagation(expected=expected)
     for change in changes:
         found.write_ms.append((change.acknowledged_at - change.sent_at) * 1000.0)
-        known = revisions.get(change.service, [])
-        place_ = bisect_left(known, change.revision)
-        for at in by_service[change.service][known[place_]] if place_ < len(known) else ():
-            found.since_sent_ms.append((at - change.sent_at) * 1000.0)
-            found.since_acknowledged_ms.append(max(0.0, (at - change.acknowledged_at) * 1000.0))
+        for each in lines.get(change.service, {}).values():
+            place_ = bisect_left(each, change.revision, key=lambda line: line[0])
+            if place_ < len(each):
+                at = each[place_][1]
+                found.since_sent_ms.append((at - change.sent_at) * 1000.0)
+                found.since_acknowledged_ms.append(max(0.0, (at - change.acknowledged_at) * 1000.0))
     return found
 
 
--- a/mastlift/lab/capacity/hollow.py
+++ b/mastlift/lab/capacity/hollow.py
@@ -101,11 +101,12 @@
 
 
 class Delivery(msgspec.Struct, frozen=True):
-    """When each watch of a service had a revision, as published."""
+    """When each watch of a service had a revision, as published. `watches` numbers the watches of the process."""
 
     service: str
     revision: int
     at: list[float]
+    watches: list[int]
 
 
 class Measured(msgspec.Struct, frozen=True):
@@ -137,18 +138,20 @@
     """What the watches of one process were told, and when."""
 
     def __init__(self) -> None:
-        self._deliveries: dict[tuple[str, int], list[float]] = {}
+        self._deliveries: dict[tuple[str, int], Delivery] = {}
         self._departures: dict[tuple[str, str], list[float]] = {}
 
-    def delivered(self, service: str, revision: int) -> None:
-        self._deliveries.setdefault((service, revision), []).append(time.monotonic())
+    def delivered(self, service: str, revision: int, watch: int) -> None:
+        found = self._deliveries.setdefault((service, revision), Delivery(service, revision, [], []))
+        found.at.append(time.monotonic())
+        found.watches.append(watch)
 
     def departed(self, service: str, id_: str) -> None:
         self._departures.setdefault((service, id_), []).append(time.monotonic())
 
     def take(self) -> tuple[list[Delivery], list[Departure]]:
         """All since the last call."""
-        deliveries = [Delivery(service, revision, at) for (service, revision), at in self._deliveries.items()]
+        deliveries = list(self._deliveries.values())
         departures = [Departure(service, id_, at[0], at[-1], len(at))
                       for (service, id_), at in self._departures.items()]
         self._deliveries, self._departures = {}, {}
@@ -158,15 +161,15 @@
 class RecordedDiscovery(Discovery):
     """The proxy's discovery client; what it is told is also recorded."""
 
-    def __init__(self, service: str, recorder: Recorder, *given: Any) -> None:
+    def __init__(self, service: str, recorder: Recorder, number: int, *given: Any) -> None:
         super().__init__(*given)
-        self._service, self._recorder = service, recorder
+        self._service, self._recorder, self._number = service, recorder, number
         self.listed: set[str] = set()
         self.has_list = False
 
     def changed(self, message: dict[str, Any], servers: list[Server], addresses: dict[str, Address]) -> None:
         super().changed(message, servers, addresses)
-        self._recorder.delivered(self._service, self._revision)
+        self._recorder.delivered(self._service, self._revision, self._number)
         here = {member["id"] for member in message["members"] if STATES[member["phase"]] is State.READY}
         off = (self.listed - here if message["complete"]
                else {member["id"] for member in message["members"]} - here) & self.listed
@@ -179,13 +182,13 @@
 class HollowProxy:
     """The control part of a proxy: the watch of one list, and the decisions that hear of its changes."""
 
-    def __init__(self, service: str, addresses: list[str], recorder: Recorder, seed: int) -> None:
-        self._balancer = Balancer(read_settings(SETTINGS), seed)
+    def __init__(self, service: str, addresses: list[str], recorder: Recorder, number: int) -> None:
+        self._balancer = Balancer(read_settings(SETTINGS), number)
         self.decides = True
         loop = asyncio.get_running_loop()
         reader = ListReader(SETTINGS["zones"], SETTINGS["host_types"])
-        self.discovery = RecordedDiscovery(service, recorder, loop, read_addresses(addresses), reader, False, {},
-                                           self._deliver)
+        self.discovery = RecordedDiscovery(service, recorder, number, loop, read_addresses(addresses), reader, False,
+                                           {}, self._deliver)
         self.discovery.start()
 
     def _deliver(self, change: ListChanged, addresses: dict[str, Address]) -> None:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -121,11 +121,13 @@
 
 def test_changes_that_were_published_as_one_are_all_matched_with_it() -> None:
     changes = [Change("s", 11, 1.0, 1.1), Change("s", 12, 1.2, 1.3), Change("s", 14, 2.0, 2.5)]
-    deliveries = [Delivery("s", 12, [1.4, 1.5]), Delivery("s", 14, [2.4]), Delivery("t", 11, [0.0])]
-    found = matched(changes, deliveries, 6)
-    assert [round(one) for one in found.since_sent_ms] == [400, 500, 200, 300, 400]
-    assert [round(one) for one in found.since_acknowledged_ms] == [300, 400, 100, 200, 0]
-    assert found.expected == 6 and len(found.write_ms) == 3
+    deliveries = [(0, Delivery("s", 12, [1.4, 1.5], [0, 1])), (0, Delivery("s", 14, [2.4], [1])),
+                  (0, Delivery("t", 11, [0.0], [2])),
+                  (1, Delivery("s", 11, [1.3], [0])), (1, Delivery("s", 12, [1.6], [0]))]  # of another keeper
+    found = matched(changes, deliveries, 9)
+    assert [round(one) for one in found.since_sent_ms] == [400, 500, 300, 200, 300, 400, 400]
+    assert [round(one) for one in found.since_acknowledged_ms] == [300, 400, 200, 100, 200, 300, 0]
+    assert found.expected == 9 and len(found.write_ms) == 3
 
 
 # --- counting ---
