--- a/mastlift/cli.py
+++ b/mastlift/cli.py
@@ -1,4 +1,4 @@
-"""The one command line. Each room's commands are loaded only when called."""
+"""The one command line. Each package's commands are loaded only when called."""
 
 from __future__ import annotations
 
--- a/mastlift/durable/frames.py
+++ b/mastlift/durable/frames.py
@@ -1,7 +1,7 @@
 """The form of the log on disk. Pure: bytes in, values out.
 
 A segment is a header and frames. A frame is what one sync made durable: `count` entries from index `first` on, in one
-body that this room does not look into. Each frame carries the checksum of the frame before it, and every checksum is
+body that this package does not look into. Each frame carries the checksum of the frame before it, and every checksum is
 seeded with the life of the folder, so that a frame or a segment of another life, of another keeper or from another
 place is not taken for the right one. CRC-32C (Castagnoli), little endian throughout.
 
--- a/mastlift/lab/benches/durable.py
+++ b/mastlift/lab/benches/durable.py
@@ -287,7 +287,7 @@
 
 
 def measure(quick: bool, tell: Callable[[str], None], report: Report) -> Figures:
-    """All figures of the durable room and the keeper before it. `tell` hears what goes on."""
+    """All figures of the durable package and the keeper before it. `tell` hears what goes on."""
     figures: Figures = {"value_bytes": VALUE, "writers": WRITERS}
     steps: list[tuple[str, Callable[[], Figures]]] = [
         ("group commit", lambda: append_vs_raw(5 if quick else 15, 500 if quick else 2000)),
--- a/mastlift/lab/groupsim.py
+++ b/mastlift/lab/groupsim.py
@@ -332,7 +332,7 @@
             raise self.broken(f"{node.id}: the state after entry {node.applied} is not that of the others")
 
     def _snapshot(self, node: Node) -> None:
-        """Written and synced in one step here; crashes in the middle of it are the durable room's matter."""
+        """Written and synced in one step here; crashes in the middle of it are the durable package's matter."""
         self.seen["snapshot"] += 1
         for action in node.pending:
             node.disk.do(action)
--- a/mastlift/logs.py
+++ b/mastlift/logs.py
@@ -28,7 +28,7 @@
         logger_factory=structlog.WriteLoggerFactory(sys.stderr), cache_logger_on_first_use=False)
 
 
-def get_logger(room: str) -> structlog.typing.FilteringBoundLogger:
-    """A logger that names its room in each event."""
-    logger: structlog.typing.FilteringBoundLogger = structlog.get_logger(room=room)
+def get_logger(component: str) -> structlog.typing.FilteringBoundLogger:
+    """A logger that names its component in each event."""
+    logger: structlog.typing.FilteringBoundLogger = structlog.get_logger(component=component)
     return logger
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,7 +13,7 @@
 ROOT = Path(__file__).parent.parent
 LAYERS = [{"settings", "logs", "metrics", "processes"}, {"durable"}, {"store"}, {"consensus"}, {"keeper"},
           {"duty", "discovery"}, {"configuration"}, {"release"}, {"lab"}, {"cli"}, {"__main__"}]
-LEVEL = {room: level for level, rooms in enumerate(LAYERS) for room in rooms}
+LEVEL = {package: level for level, packages in enumerate(LAYERS) for package in packages}
 APART = {("store", "durable"), ("store", "metrics"), ("store", "logs")}  # the state machine is pure
 
 
@@ -26,20 +26,20 @@
             yield from (f"{node.module}.{alias.name}" for alias in node.names)
 
 
-def room_of(path: Path) -> str:
+def package_of(path: Path) -> str:
     return path.relative_to(ROOT / "mastlift").parts[0].removesuffix(".py")
 
 
 @pytest.mark.parametrize("path", sorted((ROOT / "mastlift").rglob("*.py")), ids=lambda p: str(p.relative_to(ROOT)))
 def test_arrows_point_down(path: Path) -> None:
-    room = room_of(path)
-    if room == "__init__":
+    package = package_of(path)
+    if package == "__init__":
         return
     for name in imports(path):
         parts = name.split(".")
-        if parts[0] == "mastlift" and len(parts) > 1 and parts[1] != room and parts[1] in LEVEL:
-            assert LEVEL[parts[1]] < LEVEL[room], f"{room} imports {name}"
-            assert (room, parts[1]) not in APART, f"{room} imports {name}"
+        if parts[0] == "mastlift" and len(parts) > 1 and parts[1] != package and parts[1] in LEVEL:
+            assert LEVEL[parts[1]] < LEVEL[package], f"{package} imports {name}"
+            assert (package, parts[1]) not in APART, f"{package} imports {name}"
 
 
 def test_a_proxy_loads_nothing_of_the_product() -> None:
