Let a machine that is moved to another service begin anew

Need: a version that another service left in the file, in force or on the agent's disk was taken for the least that may be written, though the order of versions is one service's. Change: versions are read with the service they name; what is another's counts as none.

--- a/mastlift/configuration/agent.py
+++ b/mastlift/configuration/agent.py
@@ -232,7 +232,8 @@
     async def _save_proven(self, candidate: c.Candidate) -> c.Event:
         try:
             one = await self._proven_file(candidate)
-            await asyncio.to_thread(save_proven, self.place.state, SavedFile(one.id, one.digest, one.data.decode()))
+            kept = SavedFile(self.place.service, one.id, one.digest, one.data.decode())
+            await asyncio.to_thread(save_proven, self.place.state, kept)
         except (DiskFull, DiskFailed, OSError, ValueError) as error:
             self.log.warning("version_in_force_not_saved", reason=str(error), version=candidate.id.number)
             return c.ProvenNotSaved(candidate, str(error))
@@ -243,7 +244,7 @@
         one = self._rendered.get(candidate.digest)
         if one is None:
             data = await asyncio.to_thread(self._read_file)
-            if rendered_version(data)[0] != candidate.digest:
+            if rendered_version(data, self.place.service)[0] != candidate.digest:
                 raise ValueError("the file in force was replaced before it could be kept")
             one = self._rendered[candidate.digest] = Rendered(candidate.id, data, candidate.digest)
         return one
@@ -257,7 +258,7 @@
         self._look_at_base()
         try:
             data = await asyncio.to_thread(self._read_file)
-            digest, version = rendered_version(data)
+            digest, version = rendered_version(data, self.place.service)
         except (OSError, ValueError):
             return c.FileSeen("", None)
         if version is not None:
--- a/mastlift/configuration/command.py
+++ b/mastlift/configuration/command.py
@@ -61,7 +61,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ending.set)
-    proxy = RealProxy(*address(agent.control, "agent.control"))
+    proxy = RealProxy(agent.service, *address(agent.control, "agent.control"))
     pace = Pace(settings.timing.report_s, settings.timing.spread_s)
     async with contextlib.AsyncExitStack() as stack:
         metrics_at = await stack.enter_async_context(_serving_metrics(agent.metrics, metrics))
--- a/mastlift/configuration/endpoint.py
+++ b/mastlift/configuration/endpoint.py
@@ -41,23 +41,23 @@
 _DECODE = msgspec.json.Decoder(_Shown).decode
 
 
-def read_shown(body: bytes) -> Reading:
-    """The answer of `/api/configuration`. Raises msgspec.DecodeError."""
+def read_shown(body: bytes, service: str) -> Reading:
+    """The answer of `/api/configuration`, with the version if it is this service's. Raises msgspec.DecodeError."""
     shown = _DECODE(body)
-    version = version_named(msgspec.json.decode(shown.version))
+    version = version_named(msgspec.json.decode(shown.version), service)
     return Reading(shown.pid, shown.digest, version, shown.reloads, shown.refused or "")
 
 
 class RealProxy:
     """A proxy's process on this machine, known by its admin endpoint alone."""
 
-    def __init__(self, host: str, port: int) -> None:
-        self._host, self._port = host, port
+    def __init__(self, service: str, host: str, port: int) -> None:
+        self._service, self._host, self._port = service, host, port
 
     async def read(self) -> Reading:
         try:
             async with asyncio.timeout(ANSWER_S):
-                return read_shown(await self._ask())
+                return read_shown(await self._ask(), self._service)
         except TimeoutError:
             raise ProxyUnavailable(f"no answer at {self._where()} within {ANSWER_S:g} s") from None
         except (OSError, asyncio.IncompleteReadError, msgspec.DecodeError) as error:
--- a/mastlift/configuration/saved.py
+++ b/mastlift/configuration/saved.py
@@ -21,6 +21,7 @@
 class SavedFile(msgspec.Struct, frozen=True):
     """The proxy's file of one version as it was in force."""
 
+    service: str
     id: VersionId
     digest: str
     data: str
@@ -73,12 +74,19 @@
             saved.problems.append(f"{TARGET_FILE}: {error}")
     if (body := _read(disk, PROVEN_FILE, saved)) is not None:
         try:
-            saved.proven = msgspec.json.decode(body, type=SavedFile)
-        except msgspec.DecodeError as error:
+            saved.proven = _decode_proven(body, service)
+        except (msgspec.DecodeError, ValueError) as error:
             saved.problems.append(f"{PROVEN_FILE}: {error}")
     return saved
 
 
+def _decode_proven(body: bytes, service: str) -> SavedFile:
+    proven = msgspec.json.decode(body, type=SavedFile)
+    if proven.service != service:
+        raise ValueError(f"it belongs to the service '{proven.service}', not to '{service}'")
+    return proven
+
+
 def _read(disk: Disk, name: str, saved: Saved) -> bytes | None:
     if name not in disk.names():
         return None
--- a/mastlift/configuration/versions.py
+++ b/mastlift/configuration/versions.py
@@ -133,17 +133,27 @@
     return Rendered(version.id, data, settings_digest(orjson.loads(data)))
 
 
-def rendered_version(data: bytes) -> tuple[str, VersionId | None]:
-    """The digest of a proxy's file as it stands, and the version it names. Raises ValueError for what is no file."""
+def rendered_version(data: bytes, service: str) -> tuple[str, VersionId | None]:
+    """The digest of a proxy's file as it stands, and the version of this service that it names, if it does. Raises
+    ValueError for what is no file."""
     raw = orjson.loads(data)
     if not isinstance(raw, dict):
         raise ValueError("it is no object")
-    return settings_digest(raw), version_named(raw.get(VERSION_KEY))
+    return settings_digest(raw), version_named(raw.get(VERSION_KEY), service)
 
 
-def version_named(value: object) -> VersionId | None:
-    """The id under VERSION_KEY, where it is one."""
+class _Named(msgspec.Struct, frozen=True):
+    """What stands under VERSION_KEY."""
+
+    service: str
+    history: int
+    number: int
+
+
+def version_named(value: object, service: str) -> VersionId | None:
+    """The id under VERSION_KEY, where it is one of this service: another one's order says nothing here."""
     try:
-        return msgspec.convert(value, VersionId)
+        named = msgspec.convert(value, _Named)
     except msgspec.ValidationError:
         return None
+    return VersionId(named.history, named.number) if named.service == service else None
--- a/mastlift/lab/configfleet.py
+++ b/mastlift/lab/configfleet.py
@@ -91,7 +91,7 @@
     # --- what is true of it ---
 
     async def reading(self) -> Reading:
-        return await RealProxy(*address(self.control, "control")).read()
+        return await RealProxy(self.service, *address(self.control, "control")).read()
 
     async def in_force(self) -> VersionId | None:
         """As the proxy itself says; None where it does not answer or has no version."""
@@ -101,7 +101,7 @@
 
     def in_file(self) -> VersionId | None:
         """Raises ValueError for a file that is not whole."""
-        return rendered_version(self.file.read_bytes())[1]
+        return rendered_version(self.file.read_bytes(), self.service)[1]
 
     async def until_in_force(self, number: int, within_s: float = 20.0) -> None:
         end = time.monotonic() + within_s
--- a/mastlift/lab/configsim.py
+++ b/mastlift/lab/configsim.py
@@ -89,7 +89,7 @@
     def _take(self, data: bytes) -> None:
         machine = self.machine
         self.raw = orjson.loads(data)
-        self.digest, named = rendered_version(data)
+        self.digest, named = rendered_version(data, SERVICE)
         if data == BY_HAND:
             self.highest = None  # what was in force before cannot be known to an agent that was not there
         if named is None:
@@ -127,7 +127,8 @@
             self.machine.run.after(self.machine.run.rng.uniform(0.1, 6.0) * SUPERVISOR_MS, self.start)
 
     def reading(self) -> a.Reading:
-        return a.Reading(self.pid, self.digest, version_named(self.raw.get("version")), self.reloads, self.refused)
+        version = version_named(self.raw.get("version"), SERVICE)
+        return a.Reading(self.pid, self.digest, version, self.reloads, self.refused)
 
 
 class SimMachine:
@@ -180,7 +181,7 @@
             raise self.run.broken(f"{self.name}: the file is gone")
         if data != BY_HAND:
             try:
-                digest, named = rendered_version(data)
+                digest, named = rendered_version(data, SERVICE)
             except ValueError:
                 raise self.run.broken(f"{self.name}: the file is not whole") from None
             if named is not None and self.rendered.get(digest) != data:
@@ -279,9 +280,9 @@
         machine, report = self.machine, self.core.report(self.now())
         if report.in_force is not None and report.in_force.number and machine.proxy.up:
             raw = machine.proxy.raw
-            named = version_named(raw.get("version"))
+            named = version_named(raw.get("version"), SERVICE)
             shown = self.answered_raw
-            if shown is None or version_named(shown.get("version")) != report.in_force:
+            if shown is None or version_named(shown.get("version"), SERVICE) != report.in_force:
                 raise self.run.broken(f"{machine.name}: version {show(report.in_force)} is reported in force; the "
                                       f"proxy has {show(named)}")
         if report.condition is a.Condition.IN_FORCE and report.in_force is not None:
@@ -374,7 +375,7 @@
 
     def look(self) -> a.Event:
         data = self.machine.read_file()
-        digest, version = rendered_version(data)
+        digest, version = rendered_version(data, SERVICE)
         if version is not None:
             self.known.setdefault(digest, Rendered(version, data, digest))
         return a.FileSeen(digest, version)
@@ -389,14 +390,17 @@
         self.machine.edited = False
         return a.FileWritten(one)
 
+    def saved_file(self, one: a.Candidate) -> SavedFile:
+        return SavedFile(SERVICE, one.id, one.digest, self.known[one.digest].data.decode())
+
     def save_proven(self, one: a.Candidate) -> a.Event:
         if one.digest not in self.known:
             data = self.machine.read_file()
-            if rendered_version(data)[0] != one.digest:
+            if rendered_version(data, SERVICE)[0] != one.digest:
                 return a.ProvenNotSaved(one, "replaced before it could be kept")
             self.known[one.digest] = Rendered(one.id, data, one.digest)
         try:
-            save_proven(self.machine.state, SavedFile(one.id, one.digest, self.known[one.digest].data.decode()))
+            save_proven(self.machine.state, self.saved_file(one))
         except (DiskFull, DiskFailed) as error:
             return a.ProvenNotSaved(one, str(error))
         return a.ProvenSaved(one)
--- a/mastlift/lab/hollowconfig.py
+++ b/mastlift/lab/hollowconfig.py
@@ -20,7 +20,7 @@
 from mastlift.configuration.agent import Agent, AgentMetrics, Pace, Place
 from mastlift.configuration.command import CALL_S, REPORT_ATTEMPT_S
 from mastlift.configuration.endpoint import ProxyUnavailable
-from mastlift.configuration.versions import rendered_version
+from mastlift.configuration.versions import VersionId, rendered_version
 from mastlift.durable.disk import create_whole
 from mastlift.keeper.client import KeeperClient
 from mastlift.lab.simdisk import SimDisk
@@ -33,9 +33,12 @@
 class HollowProxy:
     """Answers as a proxy that takes every file."""
 
-    def __init__(self, files: SimDisk, pid: int) -> None:
-        self._files, self._pid, self._reloads = files, pid, 0
-        self._digest, self._version = rendered_version(files.read(FILE, 0, 1 << 24))
+    def __init__(self, service: str, files: SimDisk, pid: int) -> None:
+        self._service, self._files, self._pid, self._reloads = service, files, pid, 0
+        self._digest, self._version = self._look()
+
+    def _look(self) -> tuple[str, VersionId | None]:
+        return rendered_version(self._files.read(FILE, 0, 1 << 24), self._service)
 
     async def read(self) -> c.Reading:
         return c.Reading(self._pid, self._digest, self._version, self._reloads, "")
@@ -43,7 +46,7 @@
     async def reload(self) -> c.Reading:
         before = await self.read()
         try:
-            self._digest, self._version = rendered_version(self._files.read(FILE, 0, 1 << 24))
+            self._digest, self._version = self._look()
         except ValueError as error:
             raise ProxyUnavailable(str(error)) from error
         self._reloads += 1
@@ -91,7 +94,8 @@
             place = Place(service, name, files, FILE, SimDisk(), lambda base=base: base)  # type: ignore[misc]
             watcher = await stack.enter_async_context(KeeperClient(keepers, CALL_S))
             reporter = await stack.enter_async_context(KeeperClient(keepers, CALL_S, attempt_s=REPORT_ATTEMPT_S))
-            agent = HollowAgent(place, HollowProxy(files, number + 1), watcher, reporter, c.Timing(), Pace(), metrics)
+            proxy = HollowProxy(service, files, number + 1)
+            agent = HollowAgent(place, proxy, watcher, reporter, c.Timing(), Pace(), metrics)
             agent.fleet = fleet
             tasks.create_task(agent.run())
             await asyncio.sleep(START_APART_S)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -385,7 +385,12 @@
     assert (raw["settings"]["position"], raw["settings"]["zone"]) == (2, 1)
     assert raw["settings"]["lanes"] == SETTINGS["lanes"]
     assert one.digest != two.digest
-    assert rendered_version(one.data) == (one.digest, VersionId(1, 1))
+    assert rendered_version(one.data, "pay") == (one.digest, VersionId(1, 1))
+
+
+def test_the_version_of_another_service_says_nothing() -> None:
+    one = render(BASE, make_version("pay", VersionId(1, 1), CONTENT, 5))
+    assert rendered_version(one.data, "ship") == (one.digest, None)
 
 
 def test_agents_and_proxies_have_one_digest() -> None:
@@ -463,12 +468,14 @@
 def test_what_was_saved_is_read_back_and_damage_is_named() -> None:
     disk = SimDisk()
     version = make_version("pay", VersionId(1, 1), CONTENT, 5)
-    proven = SavedFile(VersionId(1, 1), "d", "{}")
+    proven = SavedFile("pay", VersionId(1, 1), "d", "{}")
     assert load_saved(disk, "pay").target is None
     save_target(disk, version)
     save_proven(disk, proven)
     saved = load_saved(disk, "pay")
     assert (saved.target, saved.proven, saved.problems) == (version, proven, [])
+    others = load_saved(disk, "ship")  # the machine was moved to another service
+    assert (others.target, others.proven, len(others.problems)) == (None, None, 2)
     for name in (TARGET_FILE, PROVEN_FILE):
         whole = disk.files()[name]
         disk.put(name, whole[:-3] + b"xyz")
