Repeat a put that only met the beginning of the history

Need: a first put that met the list service's own first write would have been told of a version that nobody put. Change: where the newest version is what it was, the put goes once more; two puts at once are tested: one is stored, the other is a conflict. Result: the test at the full disk, which has both, passes.

--- a/mastlift/configuration/operations.py
+++ b/mastlift/configuration/operations.py
@@ -91,10 +91,13 @@
         {"key": current_key(service), "field": "changed", "number": stands.changed},
         {"key": LIST_BASE_KEY, "field": "changed", "number": base.changed if base else 0}]
     told = await _transact(client, service, stands, compares, _operations(version, "" if base else began))
-    if not told["then"]:
-        newer = (await current(client, service)).version
-        raise Conflict(f"version {newer.id if newer else 0} was put meanwhile: nothing was changed")
-    return version
+    if told["then"]:
+        return version
+    now_stands = await current(client, service)
+    if now_stands.changed == stands.changed:  # the list service has stored the history's beginning meanwhile
+        return await _store(client, service, stands, content, reverts_to)
+    newer = now_stands.version.id if now_stands.version else 0
+    raise Conflict(f"version {newer} was put meanwhile: nothing was changed")
 
 
 def _operations(version: Version, began: str) -> list[dict[str, Any]]:
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -271,13 +271,16 @@
     run(test)
 
 
-def test_a_put_at_a_full_disk_fails_with_one_error_and_changes_nothing(tmp_path: Path) -> None:
+def test_a_put_that_meets_another_or_a_full_disk_fails_with_one_error_and_changes_nothing(tmp_path: Path) -> None:
     async def test() -> None:
         listen, folder = free_address(), tmp_path / "faults"
         folder.mkdir()
         faults = Faults(folder)
         async with keeper(keeper_settings(tmp_path, listen), folder), KeeperClient([listen], 1.5) as client:
             await operations.put(client, SERVICE, "one.json", content(0.1))
+            both = await asyncio.gather(*(operations.put(client, "ship", "one.json", content(0.1), expect=0)
+                                          for _ in range(2)), return_exceptions=True)
+            assert sorted(type(one).__name__ for one in both) == ["Conflict", "Version"]  # of two, one
             faults.set(Fault.FULL)
             with pytest.raises(Unreachable, match=r"disk_full.*version 1 still stands, nothing was changed"):
                 await operations.put(client, SERVICE, "two.json", content(0.2))
