--- a/mastlift/lab/plots.py
+++ b/mastlift/lab/plots.py
@@ -26,6 +26,8 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.files.append(self.folder / f"{name}.png")
         figure.savefig(self.files[-1], dpi=110)
+        from matplotlib import pyplot
+        pyplot.close(figure)
 
     def histogram(self, name: str, title: str, x_label: str, values: Mapping[str, Sequence[float]],
                   bound: float | None = None, bound_label: str = "") -> None:
