Let the simulated watch of the list service say whether it was connected

test_the_rules_of_lists_hold_in_drawn_schedules failed since calls are made at once after an ended watch: the simulated watch has no transport to ask. It says so by what it answers. The drawn schedules pass again.

--- a/mastlift/lab/listsim.py
+++ b/mastlift/lab/listsim.py
@@ -109,6 +109,11 @@
         if tell:
             self._owner.ended(self, reason)
 
+    @property
+    def was_connected(self) -> bool:
+        """A node of the simulated group answers a call that it takes at once."""
+        return self.is_answered
+
     @property
     def over(self) -> bool:
         return self._ended
