Bring the sums beside discovery's times in line with the pauses, and say whose lists come late

The longest ways beside the constants still had the pauses from before the queue's 2 s were left free; the sums are the same.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -33,11 +33,11 @@
 #   a watch falls silent        2.25 s to notice + 1.75 s pause + 2.0 s queue = 6.0 s
 #   and its new call is silent  2.25 s + 1.75 s + 2.1 s to give the call up = 6.1 s, and a new cycle begins
 #   a watch ends                no pause + 2.0 s queue = 2.0 s
-#   discovery returns while a call waits in vain  2.1 s to its end + 1.95 s pause + 1.95 s line = 6.0 s
-#   the same where news was overdue before:       4.2 s + 0.9 s + 0.9 s = 6.0 s
-#   or right after a call was refused, reset or answered 503: 1.95 s pause + 4.05 s line = 6.0 s
-# What can't be told in time has no such sum: by a discovery that takes longer for a call of each proxy than the shares
-# for its line, or that lets a call wait for more than 4.2 s.
+#   discovery returns while a call waits in vain  2.1 s to its end + 1.9 s pause + 2.0 s queue = 6.0 s
+#   the same where news was overdue before:       4.2 s + no pause + 1.8 s queue = 6.0 s
+#   or right after a call was refused, reset or answered 503: 1.9 s pause + 4.1 s queue = 6.0 s
+# What can't be told in time has no such sum: by a discovery that takes longer for a call of each proxy than is left for
+# its queue, whose queue is full when a watch ends, or that lets a call wait for more than 4.2 s.
 # A watch may end in place of reporting a change. Discovery answers a call within 2 s or refuses it, so what the watch
 # would have reported counts as known so long after its end, and the new call has to be taken at once.
 ENDED_DUE_S = QUEUE_WAIT_MS / 1000.0
