--- a/mastlift/lab/configsim.py
+++ b/mastlift/lab/configsim.py
@@ -191,11 +191,11 @@
 
     def fill(self) -> None:
         self.files_full = True
-        self.files.room = self.state.room = 0
+        self.files.capacity = self.state.capacity = 0
 
     def free(self) -> None:
         self.files_full = False
-        self.files.room = self.state.room = 1 << 40
+        self.files.capacity = self.state.capacity = 1 << 40
 
     def edit(self) -> None:
         if not self.forgot and not self.files_full:
--- a/mastlift/lab/crash.py
+++ b/mastlift/lab/crash.py
@@ -150,7 +150,7 @@
                 journal.append(len(group), self.history.encode(group))
             except DiskFull:
                 self.submitted = at
-                self.disk.room += 4000
+                self.disk.capacity += 4000
                 continue
             self.acknowledged = at = self.submitted
             for command in group:
@@ -173,7 +173,7 @@
                 if writer is not None:
                     writer.abandon()
                 writer = None
-                self.disk.room += 4000
+                self.disk.capacity += 4000
 
     @staticmethod
     def _without_room(call: Callable[[], None]) -> None:
@@ -249,8 +249,8 @@
         try:
             run.start()
         except DiskFull:
-            tally.seen["no room to start, then room"] += 1
-            disk.room += 1 << 20
+            tally.seen["too full to start, then space"] += 1
+            disk.capacity += 1 << 20
             run = Run(history, disk, random.Random(0))
             run.start()
     except Exception as error:
@@ -269,12 +269,12 @@
     rng = random.Random(seed ^ 0x5EED)
     disk = SimDisk(seed)
     if rng.random() < 0.3:
-        disk.room = 6000
+        disk.capacity = 6000
     for life in range(3):
         disk.syncs, disk.fail_sync_at = 0, rng.randrange(3, 60) if rng.random() < 0.3 else 0
         until = len(history.commands) * (life + 1) // 3
         points = live(history, disk, rng, until)
-        tally.seen["disk full"] += disk.room not in (6000, 1 << 40)
+        tally.seen["disk full"] += disk.capacity not in (6000, 1 << 40)
         tally.seen["sync failed"] += 0 < disk.fail_sync_at <= disk.syncs
         recovered = None
         for step, point in enumerate(points):
--- a/mastlift/lab/simdisk.py
+++ b/mastlift/lab/simdisk.py
@@ -40,8 +40,8 @@
     def write(self, *pieces: bytes) -> None:
         disk, inode, data = self._disk, self._inode, b"".join(pieces)
         disk.step()
-        room = disk.room - disk.used()
-        taken = data if room >= len(data) else data[:max(0, room)]
+        free = disk.capacity - disk.used()
+        taken = data if free >= len(data) else data[:max(0, free)]
         inode.pending.append((len(inode.seen), taken))
         inode.seen += taken
         if len(taken) < len(data):
@@ -104,10 +104,10 @@
 
 
 class SimDisk:
-    """The seam `mastlift.durable.disk.Disk` in memory. `room` is in bytes; `fail_sync_at` counts syncs from 1."""
+    """The seam `mastlift.durable.disk.Disk` in memory. `capacity` is in bytes; `fail_sync_at` counts syncs from 1."""
 
-    def __init__(self, seed: int = 0, room: int = 1 << 40) -> None:
-        self.random, self.room = random.Random(seed), room
+    def __init__(self, seed: int = 0, capacity: int = 1 << 40) -> None:
+        self.random, self.capacity = random.Random(seed), capacity
         self.steps = self.syncs = self.fail_sync_at = 0
         self.on_step: Callable[[], None] = lambda: None
         self._names: dict[str, _Inode] = {}
@@ -132,7 +132,7 @@
         def copy(inode: _Inode) -> _Inode:
             return copies.setdefault(id(inode), inode.copy())
 
-        other = SimDisk(0, self.room)
+        other = SimDisk(0, self.capacity)
         other._names = {name: copy(inode) for name, inode in self._names.items()}
         other._kept_names = {name: copy(inode) for name, inode in self._kept_names.items()}
         other._pending_names = [{name: inode and copy(inode) for name, inode in change.items()}
@@ -143,7 +143,7 @@
         """The disk after a crash in this moment. This one is left as it is."""
         if loss is Loss.NOTHING:
             return self.image()
-        other, names = SimDisk(rng.getrandbits(32), self.room), dict(self._kept_names)
+        other, names = SimDisk(rng.getrandbits(32), self.capacity), dict(self._kept_names)
         if loss is Loss.SOME:
             for change in self._pending_names:
                 if rng.random() < 0.5:
@@ -198,7 +198,7 @@
 
     def create(self, name: str) -> SimFile:
         self.step()
-        if self.room <= self.used():
+        if self.capacity <= self.used():
             raise DiskFull("no space left in the model")
         inode = _Inode()
         self._change({name: inode})
@@ -221,4 +221,4 @@
         self._pending_names.clear()
 
     def free_bytes(self) -> int:
-        return max(0, self.room - self.used())
+        return max(0, self.capacity - self.used())
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -170,8 +170,8 @@
 
 
 def test_a_disk_that_is_full_takes_nothing_and_needs_no_repair() -> None:
-    history, disk = History(0), SimDisk(room=4000)
+    history, disk = History(0), SimDisk(capacity=4000)
     run = Run(history, disk, random.Random(3))
     run.work(run.start(), COMMANDS)
-    assert disk.room > 4000 and digest(run.store) == history.states[COMMANDS]
+    assert disk.capacity > 4000 and digest(run.store) == history.states[COMMANDS]
     assert digest(opened(disk.crash(Loss.ALL, random.Random(1)))[0]) == history.states[COMMANDS]
