--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -10,6 +10,7 @@
 import struct
 import time
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from unittest import mock
 
 import pytest
@@ -18,7 +19,7 @@
 from cometdoor.proxy import Attempt, LiveRequest
 from cometdoor.upstream import Connection
 from jasperhall import api
-from tests.rig import FakeServer, Message, Rig, Script, first_to, member, run
+from tests.rig import Caller, FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_gone import final, nothing_begins, noticed
 
 HELD_S = 0.3  # so long the loop is held: longer than any rule on time allows
@@ -56,6 +57,29 @@
         await asyncio.sleep(0)
 
 
+async def keep_connection(rig: Rig, backend: FakeServer) -> Caller:
+    """One to the backend that has rested, and is used again. The client stays as long as what is given back is kept."""
+    caller = await rig.caller()
+    caller.ask()
+    (await backend.next()).reply(200, b"x")
+    await caller.answer()
+    await asyncio.sleep(0.03)
+    return caller
+
+
+@contextmanager
+def connected_after(up: asyncio.Event) -> Iterator[None]:
+    """Connections to backends come up once `up` is set."""
+    open_connection = Connection._connect
+
+    async def late(connection: Connection) -> None:
+        await up.wait()
+        await open_connection(connection)
+
+    with mock.patch.object(Connection, "_connect", late):
+        yield
+
+
 def s1_then_s2(event: api.Event) -> list[api.Action]:
     if isinstance(event, api.RequestArrived):
         return [api.Send(event.request, "s1")]
@@ -69,10 +93,7 @@
 def test_a_request_that_is_read_after_its_client_has_left_is_not_sent_on(leave: Callable[[socket.socket], None],
                                                                         is_accepted: bool) -> None:
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (backend, _, rig):
             client = connect(rig)
             if is_accepted:
                 await accepted(rig)
@@ -88,15 +109,8 @@
 
 def test_a_kept_connection_to_a_server_is_not_written_for_a_client_that_has_left() -> None:
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
-            first = await rig.caller()
-            first.ask()
-            (await backend.next()).reply(200, b"x")
-            await first.answer()
-            await asyncio.sleep(0.03)  # the kept connection rests
+        async with scripted_proxy() as (backend, _, rig):
+            _client = await keep_connection(rig, backend)
             client = connect(rig)
             await accepted(rig, 2)
             client.sendall(request_text())
@@ -114,13 +128,8 @@
     async def test() -> None:
         backend = await FakeServer().start()
         up = asyncio.Event()
-        open_connection = Connection._connect
-
-        async def late(connection: Connection) -> None:
-            await up.wait()
-            await open_connection(connection)
         rig = await Rig().start(member("s1", backend.address), limits={"connect_timeout_ms": 9000.0})
-        with mock.patch.object(Connection, "_connect", late):
+        with connected_after(up):
             client = connect(rig)
             client.sendall(request_text(kind="pay"))
             while not rig.proxy._requests:
@@ -198,11 +207,7 @@
             watch = await discovery.next()
             watch.open_stream()
             if is_kept:
-                first = await rig.caller()
-                first.ask()
-                (await leaving.next()).reply(200, b"x")
-                await first.answer()
-                await asyncio.sleep(0.03)  # the kept connection rests
+                _client = await keep_connection(rig, leaving)
             client = connect(rig)
             await accepted(rig, 1 + is_kept)
             client.sendall(request_text())
@@ -221,12 +226,7 @@
         discovery, leaving, staying = [await FakeServer().start() for _ in range(3)]
         members = [member("s1", leaving.address), member("s2", staying.address)]
         up = asyncio.Event()
-        open_connection = Connection._connect
-
-        async def late(connection: Connection) -> None:
-            await up.wait()
-            await open_connection(connection)
-        with Script().in_place() as script, mock.patch.object(Connection, "_connect", late):
+        with Script().in_place() as script, connected_after(up):
             script.react = s1_then_s2
             rig = await Rig().start(*members, discovery=discovery.address, limits={"connect_timeout_ms": 9000.0})
             watch = await discovery.next()
@@ -255,11 +255,7 @@
             rig = await Rig().start(*members, discovery=discovery.address)
             watch = await discovery.next()
             watch.open_stream()
-            first = await rig.caller()
-            first.ask()
-            (await leaving.next()).reply(200, b"x")
-            await first.answer()
-            await asyncio.sleep(0.03)  # the kept connection rests
+            _client = await keep_connection(rig, leaving)
             script.react = lambda event: []
             waiting = await rig.caller()
             waiting.ask()
@@ -290,10 +286,7 @@
 @pytest.mark.parametrize("held", [True, False])
 def test_one_that_ended_its_sending_right_behind_its_requests_gets_all_its_answers(ahead: int, held: bool) -> None:
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (backend, _, rig):
             client = connect(rig)
             client.sendall(b"".join(request_text(f"t{number}") for number in range(1 + ahead)))
             client.shutdown(socket.SHUT_WR)
@@ -320,13 +313,8 @@
     async def test() -> None:
         backend = await FakeServer().start()
         up = asyncio.Event()
-        open_connection = Connection._connect
-
-        async def late(connection: Connection) -> None:
-            await up.wait()
-            await open_connection(connection)
         rig = await Rig().start(member("s1", backend.address), limits={"connect_timeout_ms": 9000.0})
-        with mock.patch.object(Connection, "_connect", late):
+        with connected_after(up):
             client = await rig.caller()
             client.ask("pay", trace="t0")
             while not rig.proxy._requests:
@@ -351,11 +339,6 @@
     async def test() -> None:
         backend = await FakeServer().start()
         up = asyncio.Event()
-        open_connection = Connection._connect
-
-        async def late(connection: Connection) -> None:
-            await up.wait()
-            await open_connection(connection)
 
         def react(event: api.Event) -> list[api.Action]:
             if isinstance(event, api.RequestArrived):
@@ -363,7 +346,7 @@
             if isinstance(event, api.AttemptEnded) and not event.final:
                 return [api.Fail(event.request)]
             return []
-        with Script().in_place() as script, mock.patch.object(Connection, "_connect", late):
+        with Script().in_place() as script, connected_after(up):
             script.react = react
             rig = await Rig().start(member("s1", backend.address), limits={"connect_timeout_ms": 9000.0})
             caller = await rig.caller()
@@ -390,10 +373,7 @@
 def test_a_request_that_is_over_leaves_nothing_to_the_collector(status: int) -> None:
     """What it leaves makes the collector's rounds long, and the loop stands still meanwhile."""
     async def test() -> None:
-        backend = await FakeServer().start()
-        with Script().in_place() as script:
-            script.react = first_to("s1")
-            rig = await Rig().start(member("s1", backend.address))
+        async with scripted_proxy() as (backend, _, rig):
             caller = await rig.caller()
             for _ in range(5):
                 caller.ask()
