Hold requests while the list may lack a drain and discovery's queue is full

Refusals come at once where the queue is full, and after exactly 2.000 s while discovery is down, also for calls that it returns under. Change: the client says when a missed change counts as known: 2 s after an orderly end, 6 s after a silence, 4 s after a move, each only once discovery has refused a call since; a reset or an unreachable discovery says nothing.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -116,6 +116,10 @@
         self._first_line_s = FIRST_LINE_S
         self._news_due = loop.time() + NEWS_DUE_S  # when what is missed counts as told
         self._ended_due = math.inf  # when what an ended watch may have left out counts as told
+        # When what a lost watch may have missed counts as known: one that was closed, though discovery goes on, or one
+        # that fell silent. That it goes on shows in a refusal.
+        self._closed_due = self._silent_due = math.inf
+        self._is_reachable = False  # it has refused a call since a watch was lost
         self._outdated_watch: WatchConnection | None = None  # still open at the address from before a move
         self._moving: asyncio.TimerHandle | None = None  # the next call, where it is not the module's to order
         self._list_file = list_file
@@ -154,6 +158,8 @@
         log.info("discovery moves to %s:%d", *self._sources.current)
         self._pause_s = FIRST_PAUSE_S
         self._outdated_watch = self._watch
+        self._silent_due = min(self._silent_due, self.loop.time() + MOVE_DUE_S)
+        self._is_reachable = False  # what another address refused tells nothing of the new one
         self._news_due = min(self._news_due, self.loop.time() + MOVE_DUE_S)
         self._stop_moving()
         self._moving = self.loop.call_later(random.uniform(0.0, MOVE_SPREAD_S), self.watch)
@@ -216,7 +222,7 @@
         if self._list_file is not None and self._keeping is None:
             self._keeping = self.loop.call_later(KEEP_EVERY_S, self._keep)
         kind = ListKind.FULL if message.get("complete") else ListKind.DELTA
-        self._deliver(ListChanged(kind, tuple(servers)), addresses)
+        self._deliver(ListChanged(kind, tuple(servers), outdated_in_ms=self.outdated_in_ms()), addresses)
 
     def ended(self, watch: WatchConnection, reason: str) -> None:
         if watch is not self._watch:
@@ -225,13 +231,18 @@
         log.info("discovery: %s", reason)
         if watch.is_answered:
             self._ended_due = self.loop.time() + ENDED_DUE_S
+            if watch.was_closed:
+                self._closed_due = min(self._closed_due, self._ended_due)
         elif not watch.was_connected:
             self._ended_due = math.inf  # discovery can't be reached: nothing counts as told before it can
+            self._is_reachable = False
+        elif watch.was_refused:
+            self._is_reachable = True
         if self._sources.several and (soon := self._sources.failed()) is not None:
             self._moving = self.loop.call_later(soon, self.watch)
             return
         if self._must_ask:
-            self._deliver(ListChanged(ListKind.FAILED, due_ms=1000.0 * self._due_in_s()), {})
+            self._deliver_failure(1000.0 * self._due_in_s())
             return
         self._call_after(self._pause_s * random.uniform(0.5, 1.0))
         longest_s = SEVERAL_PAUSE_S if self._sources.several else LONGEST_PAUSE_S
@@ -250,12 +261,26 @@
             self._first_line_s = LONGEST_FIRST_LINE_S
         if watch.is_answered:
             self._news_due = min(self._news_due, now - silent_s + NEWS_DUE_S)
+            self._silent_due = min(self._silent_due, now - silent_s + NEWS_DUE_S)
+        elif not watch.was_connected:
+            self._is_reachable = False
         due_ms = 1000.0 * self._due_in_s()
         if self._must_ask:
-            self._deliver(ListChanged(ListKind.FAILED, due_ms=due_ms), {})
+            self._deliver_failure(due_ms)
             return
         self._call_after(random.uniform(0.0, widest_pause_ms(due_ms)) / 1000.0)
 
+    def _deliver_failure(self, due_ms: float) -> None:
+        self._deliver(ListChanged(ListKind.FAILED, due_ms=due_ms, outdated_in_ms=self.outdated_in_ms()), {})
+
+    def outdated_in_ms(self) -> float:
+        """Until a change that the list may lack counts as known; negative where that is past, infinite where nothing is
+        missed or discovery is not seen to be reachable. With several addresses another one is called in place of the
+        one that refused."""
+        if self._sources.several or not self._is_reachable:
+            return math.inf
+        return 1000.0 * (min(self._closed_due, self._silent_due) - self.loop.time())
+
     def _due_in_s(self) -> float:
         """After a failure. What is overdue can't be told in time any more: what comes from now on can."""
         now = self.loop.time()
@@ -267,8 +292,10 @@
     def _is_told(self) -> None:
         """Nothing is missed, unless the watch is one at the address from before a move."""
         self._ended_due = math.inf
+        self._closed_due = math.inf
         if self._watch is not None and self._watch is not self._outdated_watch:
-            self._news_due = math.inf
+            self._news_due = self._silent_due = math.inf
+            self._is_reachable = False
 
     def heard_again(self, watch: WatchConnection) -> None:
         if watch is not self._watch:
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -30,6 +30,7 @@
 from cometdoor.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source, Start
 from jasperhall import Balancer, api
 from jasperhall.api import ListKind, Outcome, State
+from jasperhall.outdated import OutdatedList
 
 log = logging.getLogger(__name__)
 
@@ -157,6 +158,7 @@
         self._addresses: dict[str, Address] = {}
         self._started_at: dict[str, float] = {}
         self._ready: set[str] = set()
+        self._outdated = OutdatedList()
         self._list_read_at = now_ms()  # no news of servers lay unread then
         self._held: list[Attempt] = []  # until such news is read
         self._last_id = 0
@@ -234,7 +236,8 @@
             reader = self._discovery.reader
             reader.renumber(config.zones, config.kinds)
             servers, addresses = reader.read(self._discovery.whole_list())
-            self._list_changed(api.ListChanged(ListKind.FULL, tuple(servers)), addresses)
+            self._list_changed(api.ListChanged(ListKind.FULL, tuple(servers),
+                                               outdated_in_ms=self._discovery.outdated_in_ms()), addresses)
         self._discovery.change(config.settings.must_ask)
 
     def owes_answers(self) -> bool:
@@ -266,6 +269,7 @@
             self._carry_out(action)
 
     def _list_changed(self, event: api.ListChanged, addresses: dict[str, Address]) -> None:
+        self._outdated.update(event, now_ms())
         if event.kind.tells_servers:
             if event.kind is not ListKind.DELTA:
                 for name in self._addresses.keys() - {server.name for server in event.servers}:
@@ -502,6 +506,8 @@
 
     def _may_start(self, attempt: Attempt) -> Start:
         """News of servers that lies unread counts as known: it is read before the first byte leaves."""
+        if self._outdated.holds_sends(now_ms(), LAST_START * self._config.stop_sending_ms):
+            return Start.NEVER  # its connection came up late
         if not self._has_unread_news():
             return attempt.may_start()
         if not self._held:
--- a/cometdoor/watch.py
+++ b/cometdoor/watch.py
@@ -97,6 +97,7 @@
                       + (f"{LIFE}: {life}\r\n" if life else "") + "\r\n").encode()
         self.life = ""  # what the answer says
         self.is_answered = self.is_told = False  # by a line, by a list
+        self.was_closed = self.was_refused = False  # how it ended: by discovery in good order, by an error answer
         self._patience_s, self._silence_s = patience_s, silence_s
         self._silent = False  # told to be, and not heard since
         self._parser = httptools.HttpResponseParser(self)
@@ -164,9 +165,12 @@
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
         if status >= 200:
+            self.was_closed = status == 200
+            self.was_refused = not self.was_closed
             self.end(f"over, status {status}")
 
     def eof_received(self) -> None:
+        self.was_closed = True
         self.end("the connection ended")
 
     def connection_lost(self, problem: Exception | None) -> None:
--- a/jasperhall/api.py
+++ b/jasperhall/api.py
@@ -157,11 +157,15 @@
 @dataclass(frozen=True, slots=True)
 class ListChanged:
     """`due_ms`: of a failure, the time until what is missed counts as told, as far as the host knows; the next call has
-    to be answered by then. A watch that has fallen silent is kept until the next `Watch`: it may be heard again."""
+    to be answered by then. A watch that has fallen silent is kept until the next `Watch`: it may be heard again.
+
+    `outdated_in_ms`: the time until a change that the list in use may lack counts as known, where discovery is seen to
+    be reachable; infinite where nothing is missed, or nobody can tell."""
 
     kind: ListKind
     servers: tuple[Server, ...] = ()
     due_ms: float = math.inf
+    outdated_in_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/jasperhall/balancer.py
+++ b/jasperhall/balancer.py
@@ -17,6 +17,7 @@
 
 from jasperhall import api
 from jasperhall.api import QUEUE_WAIT_MS, Effect, ListKind, Outcome, Scope, State
+from jasperhall.outdated import OutdatedList
 
 MAX_BACKUP_RATIO = 0.05  # backups among the legs of the window; copies are held from here on
 WINDOW_MS = 10_000.0
@@ -502,6 +503,7 @@
         self._yields = False  # another has taken this one's place
         self._watch_failures = 0  # in a row
         self._asked_at = -math.inf
+        self._outdated = OutdatedList()
         self._actions: list[api.Action] = []
 
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
@@ -530,7 +532,7 @@
                 self._take_over(event.learned)
             case api.Yielded():
                 self._yields = event.on
-        while waiting := self._admission.next(now):
+        while not self._outdated.holds_sends(now) and (waiting := self._admission.next(now)):
             self._start(waiting, now)
         return self._actions
 
@@ -616,6 +618,7 @@
 
     def _list_changed(self, event: api.ListChanged, now: float) -> None:
         failed = event.kind is ListKind.FAILED
+        self._outdated.update(event, now)
         self._watch_failures = self._watch_failures + 1 if failed else 0
         if self._settings.must_ask and not self._watch_due and (failed or event.kind is ListKind.CACHED):
             # Growing pauses spare a slow discovery; half of the time to ask within is never exceeded.
@@ -915,10 +918,18 @@
         if self._settings.tier or self._admission.has_room(request, now):
             self._start(request, now)
         else:
-            self._admission.hold(request)
             # A body on its way costs its client none of its time.
             hold_ms = cls.aim_ms if event.is_coming else min(HOLD_SHARE * cls.aim_ms, event.left_ms / 2)
-            request.timer = self._set_timer(request.id, hold_ms)
+            self._hold(request, hold_ms)
+
+    def _hold(self, request: Request, longest_ms: float) -> None:
+        self._count_out(request, -1)
+        self._admission.hold(request)
+        request.timer = self._set_timer(request.id, longest_ms)
+
+    def _hold_for_list(self, request: Request, now: float) -> None:
+        left_ms = request.cls.aim_ms if request.coming else request.gives_up_at - now
+        self._hold(request, left_ms / 2)
 
     def _is_past_aim(self, event: api.RequestArrived, cls: api.RequestClass, record: ClassRecord) -> bool:
         """What is left tells the time spent, but for a try that its client ends early to make another.
@@ -937,7 +948,7 @@
         if not request.coming:
             self._count_out(request, 1)
         self._send(request, now)
-        if request.open and not request.coming:
+        if request.open and not request.held and not request.coming:
             request.timer = self._set_timer(request.id, request.copy_delay_ms(now))
 
     def _count_out(self, request: Request, change: int) -> None:
@@ -973,7 +984,12 @@
         return now < request.repeats_until()
 
     def _send(self, request: Request, now: float) -> bool:
-        member = self._pick(request, now) if self._may_send(request, now) else None
+        may_send = self._may_send(request, now)
+        if may_send and self._outdated.holds_sends(now):
+            if not request.outstanding():
+                self._hold_for_list(request, now)
+            return False
+        member = self._pick(request, now) if may_send else None
         if member:
             starts_until = request.repeats_until()
             if request.attempts:
--- a/mastlift/lab/emulator/lists.py
+++ b/mastlift/lab/emulator/lists.py
@@ -24,7 +24,8 @@
 START_S = 1000.0
 GRACE_S, NEWS_DUE_S, LINE_S = 0.25, 6.0, 2.0  # of the terms, and not taken from the program
 ENDED_DUE_S = 2.0  # from a watch's end: what it left out counts as told then
-REFUSAL_S = 0.02  # until the answer to a call that is refused, there and back
+REFUSAL_S = 0.02  # until the answer to a call that is refused at once, there and back
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 # With 10 s to ask within, the widest pause after one failure happens to end in time.
 SETTINGS = api.Settings(classes=(api.RequestClass(aim_ms=1000, deadline_ms=3000),), ask_within_ms=40_000.0)
 
@@ -155,15 +156,16 @@
 
 class World:
     def __init__(self, proxies: int, servers: int, *, asked: bool, all_call_s: float = 3.7, wait_s: float = 2.0,
-                 seed: int = 1, knows: bool = True) -> None:
+                 seed: int = 1, knows: bool = True, refuses_at_once: bool = True) -> None:
         """`all_call_s`: how long discovery takes to answer a call of each proxy, one after another. `knows`: proxies
-        start with a list."""
+        start with a list. `refuses_at_once`: a call that would wait for more than `wait_s`; else it waits so long."""
         random.seed(seed)
         self.random = random.Random(seed)
         self.asked, self.knows = asked, knows
         self.loop = Loop()
         self.loop.connect = self._connect
         self.service_s, self.wait_s = all_call_s / proxies, wait_s
+        self.refuses_at_once = refuses_at_once
         self.members = {name: {"id": name, "host_port": "127.0.0.1:9", "locality": "ab"[i % 2], "flavor": "std",
                                "cell": i // 3, "phase": "in_service", "size": 1.0, "up_since_ms": 0}
                         for i, name in enumerate(f"s{i}" for i in range(servers))}
@@ -218,12 +220,16 @@
         self.mute_until = self.reached_since = self.loop.now + seconds
 
     def end_watches(self, share: float, missed: str = "") -> list[Proxy]:
-        """Of so many proxies, all at once; `missed` drains, and these watches end in place of reporting it."""
+        """Of so many proxies, all at once, by a reset; or `missed` drains, and discovery closes them in place of
+        reporting it."""
         watching = [wire for wire in self.wires if wire.watching and not wire.closed and not wire.silent]
         ending = self.random.sample(watching, round(share * len(watching)))
         for wire in ending:
             wire.watching = False
-            self.loop.call_later(0.0, wire.protocol.connection_lost, None)
+            if missed:
+                self.loop.call_later(0.0, wire.protocol.eof_received)
+            else:
+                self.loop.call_later(0.0, wire.protocol.connection_lost, ConnectionResetError())
         self.wires = [wire for wire in self.wires if wire not in ending]
         proxies = [self.proxies[wire.number] for wire in ending]
         if missed:
@@ -237,7 +243,7 @@
         self.stalled_until = self.loop.now + seconds
 
     def go_down(self, seconds: float, answers: str = "refused") -> None:
-        """Meanwhile calls are refused, reset, or answered 503 at once."""
+        """Meanwhile calls are refused, reset, or answered 503, at once or after the longest wait."""
         self.is_down, self.down_answers = True, answers
         self.line.clear()
         for wire in self.wires:
@@ -283,7 +289,9 @@
         if self.is_down:
             protocol.connection_made(wire)
             if self.down_answers == "503":
-                wire.say(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+                self._refuse(wire, 0.0)
+            elif self.down_answers == "503 after the wait":
+                self._refuse(wire, self.wait_s)
             else:
                 self.loop.call_later(0.001, protocol.connection_lost, None)
             return
@@ -291,14 +299,25 @@
         protocol.connection_made(wire)
 
     def admit(self, wire: Wire) -> None:
-        """A call that would wait for too long is refused at once."""
-        if (len(self.line) + 1) * self.service_s + max(self.busy_until - self.loop.now, 0.0) > self.wait_s:
-            self.refused += 1
-            self.loop.call_later(REFUSAL_S, wire.say, b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
-            return
+        """A call that would wait for too long is refused, at once or after the wait."""
+        if self.refuses_at_once:
+            if (len(self.line) + 1) * self.service_s + max(self.busy_until - self.loop.now, 0.0) > self.wait_s:
+                self._refuse(wire, REFUSAL_S)
+                return
+        else:
+            self.loop.call_later(self.wait_s, self._refuse_waiting, wire)
         self.line.append(wire)
         self.serve()
 
+    def _refuse(self, wire: Wire, after_s: float) -> None:
+        self.refused += 1
+        self.loop.call_later(after_s, wire.say, BUSY)
+
+    def _refuse_waiting(self, wire: Wire) -> None:
+        if wire in self.line:
+            self.line.remove(wire)
+            self._refuse(wire, 0.0)
+
     def serve(self) -> None:
         """Calls whose caller has left take their time all the same."""
         if not self.busy and self.line:
--- /dev/null
+++ b/tests/test_outdated_list.py
@@ -0,0 +1,273 @@
+"""Nothing begins while the list may lack a drain that counts as known; what waits is sent by the new list."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import replace
+from unittest import mock
+
+import pytest
+
+from cometdoor.proxy import LAST_START
+from cometdoor.upstream import Connection
+from jasperhall import api
+from jasperhall.api import ListKind, Outcome, State
+from jasperhall.outdated import LONGEST_WAIT_MS, OutdatedList
+from mastlift.lab.emulator.lists import ENDED_DUE_S, World
+from tests.harness import SETTINGS, Checker, servers
+from tests.rig import Call, FakeServer, Rig, member, run
+
+SAFE, KEYED, _, UNSAFE = range(4)
+
+
+# --- the decisions ---
+
+
+def outdated(in_ms: float) -> api.ListChanged:
+    return api.ListChanged(ListKind.FAILED, due_ms=2_000.0, outdated_in_ms=in_ms)
+
+
+def started(*, tier: int = 0) -> Checker:
+    checker = Checker(replace(SETTINGS, tier=tier, tiers=2), 1)
+    checker.list_servers(*servers(4))
+    return checker
+
+
+def sent(actions: list[api.Action]) -> list[api.Send]:
+    return [action for action in actions if isinstance(action, api.Send)]
+
+
+def final(actions: list[api.Action]) -> list[api.Action]:
+    return [action for action in actions if isinstance(action, api.Refuse | api.Fail)]
+
+
+def drained(*kept: str) -> api.ListChanged:
+    """A list by which all servers drain but these."""
+    return api.ListChanged(ListKind.FULL, tuple(
+        server if server.name in kept else replace(server, state=State.DRAINING) for server in servers(4)))
+
+
+@pytest.mark.parametrize("tier", [0, 1])
+@pytest.mark.parametrize("index", [SAFE, KEYED, UNSAFE])
+def test_a_request_waits_while_the_list_is_outdated_and_goes_by_the_new_one(index: int, tier: int) -> None:
+    checker = started(tier=tier)
+    checker.feed(outdated(50.0))
+    assert sent(checker.request("before", index))
+    checker.advance(50.0)
+    assert not sent(checker.request("waits", index))
+    checker.advance(300.0)
+    assert len(sent(checker.log)) == 1
+    (send,) = sent(checker.feed(drained("s2")))
+    assert (send.request, send.server) == ("waits", "s2")
+
+
+def test_no_copy_and_no_retry_is_sent_by_an_outdated_list() -> None:
+    checker = started()
+    (first,) = sent(checker.request("r", SAFE))
+    checker.feed(outdated(0.0))
+    checker.advance(600.0)  # its copy's time is over
+    assert sent(checker.log) == [first]
+    assert not sent(checker.end("r", 0, Outcome.CONNECT_FAILED))
+    other = next(server.name for server in servers(4) if server.name != first.server)
+    (retry,) = sent(checker.feed(drained(other)))
+    assert (retry.request, retry.server) == ("r", other)
+    checker.end("r", 1, Outcome.OK)
+    assert checker.owed["r"].answered == "served"
+
+
+@pytest.mark.parametrize(("outcome", "index", "answer"), [
+    (None, UNSAFE, "Refuse"), (Outcome.FULL, UNSAFE, "Refuse"), (Outcome.ERROR, SAFE, "Refuse"),
+    (Outcome.ERROR, KEYED, "Fail")])
+def test_a_request_that_waits_in_vain_is_answered_in_its_time(outcome: Outcome | None, index: int, answer: str) -> None:
+    checker = started()
+    if outcome is not None:
+        checker.request("r", index, left_ms=800.0)
+    checker.feed(outdated(0.0))
+    if outcome is None:
+        checker.request("r", index, left_ms=800.0)
+    else:
+        checker.end("r", 0, outcome)
+    assert not checker.owed["r"].answered
+    checker.advance(400.0)
+    assert checker.owed["r"].answered == answer
+
+
+def test_requests_that_wait_for_the_list_leave_their_room_at_the_entry() -> None:
+    """Retries were among those that are out: counted on, none of them would ever be let through again."""
+    checker = started()
+    names = [f"r{number}" for number in range(4)]
+    first = [name for name in names if sent(checker.request(name, UNSAFE))]
+    checker.feed(outdated(0.0))
+    for name in first:
+        checker.end(name, 0, Outcome.FULL)
+    for name in first:
+        checker.gone(name)
+    checker.feed(drained("s0"))
+    assert checker.balancer._admission.out == 0 and not checker.balancer._admission.waiting
+
+
+def test_servers_that_are_known_are_used_again_where_no_list_comes() -> None:
+    checker = started()
+    checker.feed(outdated(0.0))
+    checker.advance(LONGEST_WAIT_MS)
+    assert sent(checker.request("r"))
+
+
+@pytest.mark.parametrize("event", [
+    api.ListChanged(ListKind.ALIVE), api.ListChanged(ListKind.FAILED, due_ms=100.0), drained("s0"),
+    api.ListChanged(ListKind.DELTA)])
+def test_a_list_a_watch_that_is_heard_again_and_a_discovery_out_of_reach_end_the_wait(event: api.ListChanged) -> None:
+    checker = started()
+    checker.feed(outdated(-10.0))
+    checker.request("r")
+    assert sent(checker.feed(event))
+
+
+def test_the_wait_begins_after_the_grace_and_ends_by_itself() -> None:
+    outdated_list = OutdatedList()
+    assert not outdated_list.holds_sends(1e9)
+    outdated_list.update(outdated(100.0), 1_000.0)
+    for now, holds in ((1_099.9, False), (1_100.0, True), (1_099.9 + LONGEST_WAIT_MS, True),
+                       (1_100.0 + LONGEST_WAIT_MS, False)):
+        assert outdated_list.holds_sends(now) is holds
+    assert not outdated_list.holds_sends(1_299.9, grace_ms=200.0)
+    assert outdated_list.holds_sends(1_300.0, grace_ms=200.0)
+
+
+# --- a fleet before one discovery ---
+
+NEVER_WAITS = mock.patch("jasperhall.outdated.LONGEST_WAIT_MS", 0.0)
+
+
+def full_queue(seed: int, share: float = 1 / 6) -> World:
+    """All watches were reset, so that discovery's queue is full; some that are up again are closed in place of
+    reporting a drain."""
+    world = World(17, 30, asked=True, all_call_s=6.5, seed=seed)
+    world.run(20.0)
+    world.clients_come()
+    world.end_watches(1.0)
+    world.run(3.4)
+    world.end_watches(share, "s2")
+    world.run(12.0)
+    return world
+
+
+def test_nothing_is_sent_to_a_server_that_drains_though_discovery_answers_too_late() -> None:
+    worlds = [full_queue(seed) for seed in range(40)]
+    assert not [late for world in worlds for late in world.late]
+    with NEVER_WAITS:
+        assert [late for seed in range(40) for late in full_queue(seed).late]
+    requests = sum(world.sends + world.refusals for world in worlds)
+    assert sum(world.refusals for world in worlds) < 0.01 * requests
+
+
+def test_after_an_outage_watches_that_are_closed_meanwhile_cost_no_late_sends() -> None:
+    def after_the_outage(seed: int) -> World:
+        world = World(60, 30, asked=True, all_call_s=6.5, seed=seed, refuses_at_once=False)
+        world.run(20.0)
+        world.clients_come()
+        world.go_down(6.0, "503 after the wait")
+        world.run(8.0)
+        world.end_watches(1.0, "s2")
+        world.run(8.0)
+        return world
+
+    assert not [late for seed in range(4) for late in after_the_outage(seed).late]
+    with NEVER_WAITS:
+        assert [late for seed in range(4) for late in after_the_outage(seed).late]
+
+
+@pytest.mark.parametrize("answers", ["refused", "reset", "503", "503 after the wait"])
+def test_an_outage_of_discovery_refuses_nothing(answers: str) -> None:
+    world = World(17, 30, asked=True, all_call_s=3.7)
+    world.run(20.0)
+    world.clients_come()
+    world.go_down(20.0, answers)
+    world.run(25.0)
+    assert world.refusals == 0
+
+
+def test_a_discovery_that_closes_all_watches_and_then_only_refuses_stops_requests_for_a_while_once() -> None:
+    world = World(17, 30, asked=True, all_call_s=3.7)
+    world.run(20.0)
+    world.clients_come()
+    world.run(1.0)
+    world.end_watches(1.0, "s2")
+    world.is_down, world.down_answers = True, "503"
+    world.run(ENDED_DUE_S + LONGEST_WAIT_MS / 1000.0 + 3.5)  # what waited last is answered
+    refusals = world.refusals
+    assert refusals > 0
+    world.run(20.0)
+    assert world.refusals == refusals
+
+
+def test_watches_that_fall_silent_before_a_slow_discovery_cost_no_late_sends() -> None:
+    """A call of all proxies takes longer than the 6 s: no order of calls reaches each in time."""
+    def silent(seed: int) -> World:
+        world = World(17, 30, asked=True, all_call_s=8.2, seed=seed)
+        world.run(30.0)
+        world.clients_come()
+        world.fall_silent()
+        world.run(0.5)
+        world.change("s2")
+        world.run(14.0)
+        return world
+
+    assert not [late for seed in range(6) for late in silent(seed).late]
+    with NEVER_WAITS:
+        assert [late for seed in range(6) for late in silent(seed).late]
+
+
+# --- over sockets ---
+
+
+async def close(call: Call) -> None:
+    call.writer.close()
+    await call.writer.wait_closed()
+
+
+def test_over_sockets_a_request_waits_for_the_list_and_a_late_connection_is_not_written() -> None:
+    """Discovery closes the watch and refuses the next calls; one connection comes up only after the change counts."""
+    due_s = 0.2
+
+    async def test() -> None:
+        discovery, leaving, staying = [await FakeServer().start() for _ in range(3)]
+        members = [member("s1", leaving.address), member("s2", staying.address)]
+        connect, up = Connection._connect, asyncio.Event()
+
+        async def late(connection: Connection) -> None:
+            if not up.is_set():
+                await up.wait()
+            await connect(connection)
+
+        with mock.patch.object(Connection, "_connect", late), mock.patch("cometdoor.discovery.ENDED_DUE_S", due_s):
+            rig = await Rig().start(*members, discovery=discovery.address, asked=True,
+                                    limits={"connect_timeout_ms": 3000.0})
+            watch = await discovery.next()
+            watch.open_stream()
+            watch.send_list(42, False)
+            before, after = await rig.caller(), await rig.caller()
+            before.ask("pay", trace="1")
+            while not rig.proxy._requests:
+                await asyncio.sleep(0.001)
+            closed_at = time.monotonic()
+            await close(watch)
+            call = await discovery.next()
+            call.reply(503)
+            call = await discovery.next()  # stands in discovery's queue
+            stop_s = LAST_START * rig.config.stop_sending_ms / 1000.0
+            await asyncio.sleep(closed_at + due_s + stop_s + 0.1 - time.monotonic())
+            after.ask("pay", trace="2")
+            up.set()
+            await asyncio.sleep(0.2)
+            assert leaving.calls.empty() and staying.calls.empty()
+            call.open_stream()
+            call.send_list(43, False, {**members[0], "phase": "terminating"})
+            for caller in (before, after):
+                (await staying.next()).reply(200, b"x")
+                assert (await caller.answer()).status == 200
+        assert leaving.calls.empty()
+        rig.proxy.stop()
+
+    run(test)
