Log from when on the list may be outdated

Need: whether requests were held for want of a list shows only in the time that they took. Change: one line beside the refusal that it follows, with the seconds left.

--- a/cometdoor/discovery.py
+++ b/cometdoor/discovery.py
@@ -271,7 +271,10 @@
         self._call_after(random.uniform(0.0, widest_pause_ms(due_ms)) / 1000.0)
 
     def _deliver_failure(self, due_ms: float) -> None:
-        self._deliver(ListChanged(ListKind.FAILED, due_ms=due_ms, outdated_in_ms=self.outdated_in_ms()), {})
+        outdated_in_ms = self.outdated_in_ms()
+        if outdated_in_ms < math.inf:
+            log.info("discovery: the list may be outdated in %.2f s", outdated_in_ms / 1000.0)
+        self._deliver(ListChanged(ListKind.FAILED, due_ms=due_ms, outdated_in_ms=outdated_in_ms), {})
 
     def outdated_in_ms(self) -> float:
         """Until a change that the list may lack counts as known; negative where that is past, infinite where nothing is
