--- a/mastlift/lab/cli.py
+++ b/mastlift/lab/cli.py
@@ -275,3 +275,16 @@
                 typer.echo(str(rows[-1]))
     if json:
         typer.echo(mjson.encode(rows).decode())
+
+
+@app.command("outdated-list")
+def compare_outdated_list(
+        seeds: Annotated[int, typer.Option(min=1, help="How many seeds of each scenario.")] = 100) -> None:
+    """Sends to a server that drains, with requests held while the list may lack the drain, and without."""
+    from mastlift.lab.emulator import outdated_list
+
+    for scenario in outdated_list.SCENARIOS:
+        typer.echo(f"{scenario.name}, {scenario.proxies} proxies, a call of each {scenario.all_call_s} s:")
+        for holds in (False, True):
+            result = outdated_list.play_seeds(scenario, range(seeds), holds=holds)
+            typer.echo(f"  {'held' if holds else 'sent on'}: {result}")
