End a duty's command by a guard between it and the holder, whatever stands still

Seen: with the holding process alone stopped for 8 s its command acted on under the older token until 7.995 s, since the process that was to end it was the one that stood still. Change: mastlift/duty/guard.py, a process of its own: it sleeps until the next deadline that the holder pushed on with a renewal (CLOCK_BOOTTIME, never past the lease's arithmetic less 50 ms), then SIGTERM and SIGKILL to the group and to all below it (subreaper, /proc), and at once when the holder is gone. A killed guard takes the command along (parent-death signal) and the duty is given up; one that stands still is not waited for: the holder ends the command 25 ms later. A log that nobody reads can't block any command of mastlift: lines go through a bounded queue and a thread. Nothing of this runs in a proxy.

--- a/mastlift/duty/clock.py
+++ b/mastlift/duty/clock.py
@@ -1,4 +1,4 @@
-"""How long a holder may act. Pure; times in milliseconds of the holder's own monotonic clock.
+"""How long a holder may act. Pure; times in milliseconds of the holder's own clock.
 
 The keepers count a lease from when a renewal reached them; the holder from before it sent it, and less by the margin
 for clocks of unequal rates (Gray and Cheriton, "Leases", 1989). So it stops before the keepers can give the duty away,
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -44,6 +45,11 @@
         """For how long it may act from now on without another renewal."""
         return 0.0 if self.lost else max(0.0, self.until - now)
 
+    @property
+    def acts_until(self) -> float:
+        """When it has to have stopped, unless another renewal holds; long past once the duty is lost."""
+        return -math.inf if self.lost else self.until
+
     @property
     def renew_every_ms(self) -> float:
         return self.ttl_ms / 5.0
--- a/mastlift/duty/command.py
+++ b/mastlift/duty/command.py
@@ -1,85 +1,120 @@
-"""Runs a program while a duty is held, and ends its process group before the duty could be another's."""
+"""Runs a program below a guard while a duty is held: it has ended before the duty could be another's."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import os
-import signal
 from collections.abc import Sequence
+from enum import StrEnum
+from pathlib import Path
 
+from mastlift.duty.guarded import GUARD, Deadlines, GuardedCommand
 from mastlift.duty.holder import Duty
 from mastlift.logs import get_logger
-from mastlift.processes import die_with_parent, signal_group
 
 TOKEN = "MASTLIFT_DUTY_TOKEN"
-KILL_BEFORE_MS = 50.0  # of the lease's end, as the holder counts it
+KILL_BEFORE_MS = 50.0  # of the lease's end, as the holder counts it: the guard ends the command
+BACKUP_BEFORE_MS = 25.0  # of it, the holder does, where the guard has not
 
 
-async def _end(process: asyncio.subprocess.Process, duty: Duty, grace_ms: float) -> None:
+class EndReason(StrEnum):
+    """Why a command ended, or has to."""
+
+    BY_ITSELF = "by itself"
+    TOLD_TO_END = "told to end"
+    WANTED_ELSEWHERE = "an operator wants it elsewhere"
+    LOST = "lost"
+    NO_RENEWAL = "no renewal in time"
+    GUARD_LOST = "its guard was lost"
+
+
+def _deadlines(duty: Duty, grace_ms: float) -> Deadlines:
+    """By the lease's arithmetic. `terminate_at` leaves the command its grace."""
+    kill_at = duty.clock.acts_until - KILL_BEFORE_MS
+    return Deadlines(kill_at - grace_ms, kill_at)
+
+
+async def _end(command: GuardedCommand, duty: Duty, grace_ms: float) -> None:
     """SIGTERM to the group, then SIGKILL when its grace, or the time in which it may act, is up."""
-    if process.returncode is None:
-        signal_group(process.pid, signal.SIGTERM)
-        left = min(grace_ms, max(0.0, duty.clock.left_ms(duty._now()) - KILL_BEFORE_MS))
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(process.wait(), left / 1000.0)
-    signal_group(process.pid, signal.SIGKILL)  # what else is in its group
-    await process.wait()
-
-
-async def hold(duty: Duty, command: Sequence[str], ending: asyncio.Event, grace_ms: float) -> int:
-    """Wait in line, run the command while the duty is held, and again from the line on whenever it was lost. Returns
-    the command's exit code once it ends by itself, 0 when `ending` was set."""
+    now = duty.now_ms()
+    kill_at = max(min(now + grace_ms, duty.clock.acts_until - KILL_BEFORE_MS), now)
+    command.set_deadlines(Deadlines(now, kill_at))
+    await command.close(kill_at + KILL_BEFORE_MS - BACKUP_BEFORE_MS)
+
+
+async def hold(duty: Duty, command: Sequence[str], ending: asyncio.Event, grace_ms: float,
+               guard_program: Path = GUARD) -> int:
+    """Wait in the queue, run the command while the duty is held, and again from the queue on whenever it was lost.
+
+    Returns the command's exit code once it ends by itself, 0 when `ending` was set. Raises NotStartedError, the duty
+    given back, where the command can't be executed. This process must have no other children."""
     log = get_logger("duty").bind(duty=duty.name, candidate=duty.candidate)
     try:
         while True:
-            taking = asyncio.create_task(duty.take())
-            stop = asyncio.create_task(ending.wait())
-            await asyncio.wait({taking, stop}, return_when=asyncio.FIRST_COMPLETED)
-            stop.cancel()
-            if ending.is_set() and not taking.done():
-                taking.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await taking
+            token = await _take(duty, ending)
+            if token is None:
                 return 0
-            token = await taking
-            process = await asyncio.create_subprocess_exec(
-                *command, env={**os.environ, TOKEN: str(token)}, start_new_session=True,
-                preexec_fn=die_with_parent)
-            log.info("command_started", token=token, pid=process.pid)
+            running = await GuardedCommand.start(command, {**os.environ, TOKEN: str(token)}, _deadlines(duty, grace_ms),
+                                                 owns_orphans=True, program=guard_program)
+            log.info("command_started", token=token, pid=running.pid, guard=running.guard_pid)
+            reason = EndReason.LOST
             try:
-                why = await _run(duty, process, ending, grace_ms)
+                reason = await _run(duty, running, ending, grace_ms)
             finally:
-                await _end(process, duty, grace_ms)
-            log.info("command_ended", token=token, why=why, code=process.returncode)
+                await _end(running, duty, grace_ms)
+            log.info("command_ended", token=token, why=reason, code=running.code)
             await duty.leave()
-            if why == "by itself":
-                return process.returncode or 0
-            if why == "told to end":
+            if reason is EndReason.BY_ITSELF:
+                return running.code or 0
+            if reason is EndReason.TOLD_TO_END:
                 return 0
     finally:
         await duty.leave()
 
 
-async def _run(duty: Duty, process: asyncio.subprocess.Process, ending: asyncio.Event, grace_ms: float) -> str:
-    """Until the command has to end; why."""
-    ended = asyncio.create_task(process.wait())
+async def _take(duty: Duty, ending: asyncio.Event) -> int | None:
+    """The token once the duty is held; None when `ending` was set before."""
+    taking = asyncio.create_task(duty.take())
+    stop = asyncio.create_task(ending.wait())
+    await asyncio.wait({taking, stop}, return_when=asyncio.FIRST_COMPLETED)
+    stop.cancel()
+    if ending.is_set() and not taking.done():
+        taking.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await taking
+        return None
+    return await taking
+
+
+async def _run(duty: Duty, command: GuardedCommand, ending: asyncio.Event, grace_ms: float) -> EndReason:
+    """Push the deadlines on with each renewal, until the command has to end; why."""
+    ended = asyncio.create_task(command.ended.wait())
     stop = asyncio.create_task(ending.wait())
     try:
         while True:
             duty.changed.clear()
-            left = duty.clock.left_ms(duty._now()) - grace_ms - KILL_BEFORE_MS
-            if process.returncode is not None:
-                return "by itself"
-            if ending.is_set():
-                return "told to end"
-            if duty.asked_to_leave.is_set():
-                return "an operator wants it elsewhere"
-            if left <= 0:
-                return "lost" if duty.clock.lost else "no renewal in time"
+            command.set_deadlines(_deadlines(duty, grace_ms))
+            left_ms = duty.clock.left_ms(duty.now_ms()) - grace_ms - KILL_BEFORE_MS
+            if reason := _reason_to_end(duty, command, ending, left_ms):
+                return reason
             changed = asyncio.create_task(duty.changed.wait())
-            await asyncio.wait({ended, stop, changed}, timeout=left / 1000.0, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait({ended, stop, changed}, timeout=left_ms / 1000.0, return_when=asyncio.FIRST_COMPLETED)
             changed.cancel()
     finally:
         ended.cancel()
         stop.cancel()
+
+
+def _reason_to_end(duty: Duty, command: GuardedCommand, ending: asyncio.Event, left_ms: float) -> EndReason | None:
+    if command.ended_by_itself:
+        return EndReason.BY_ITSELF
+    if command.ended.is_set():
+        return EndReason.GUARD_LOST if command.guard_was_lost else EndReason.NO_RENEWAL
+    if ending.is_set():
+        return EndReason.TOLD_TO_END
+    if duty.asked_to_leave.is_set():
+        return EndReason.WANTED_ELSEWHERE
+    if left_ms <= 0:
+        return EndReason.LOST if duty.clock.lost else EndReason.NO_RENEWAL
+    return None
--- /dev/null
+++ b/mastlift/duty/guarded.py
@@ -0,0 +1,147 @@
+"""The holder's side of the guard: starts it with the command, sends it deadlines, and ends both where it does not."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import os
+import signal
+import sys
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from mastlift.duty import guard
+from mastlift.logs import get_logger
+from mastlift.processes import signal_group
+
+GUARD = Path(guard.__file__)
+_PR_SET_CHILD_SUBREAPER = 36
+_LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+def become_subreaper() -> None:
+    """Orphans below this process become its children; kept across exec."""
+    _LIBC.prctl(_PR_SET_CHILD_SUBREAPER, 1)
+
+
+@dataclass(frozen=True, slots=True)
+class Deadlines:
+    """When the command's group gets SIGTERM and SIGKILL, in milliseconds of `guard.now_ms`."""
+
+    terminate_at: float
+    kill_at: float
+
+    def packed(self) -> bytes:
+        """As the guard reads them."""
+        return guard.DEADLINES.pack(self.terminate_at, self.kill_at)
+
+
+class NotStartedError(Exception):
+    """The command could not be executed. `reason` is the system's words for it."""
+
+    def __init__(self, command: str, reason: str) -> None:
+        super().__init__(f"{command}: {reason}")
+        self.command, self.reason = command, reason
+
+
+class GuardedCommand:
+    """A command below its guard. `ended` is set once the command has ended, or its guard is gone."""
+
+    def __init__(self, process: asyncio.subprocess.Process, control: int, owns_orphans: bool) -> None:
+        self.ended = asyncio.Event()
+        self.pid = 0
+        self.code: int | None = None
+        self.ended_by_itself = False
+        self.guard_was_lost = False
+        self.out_of_reach: tuple[int, ...] = ()
+        self._process = process
+        self._control = control
+        self._owns_orphans = owns_orphans
+        self._reading: asyncio.Task[None] | None = None
+        self._log = get_logger("guard")
+
+    @property
+    def guard_pid(self) -> int:
+        """The guard's process."""
+        return self._process.pid
+
+    @classmethod
+    async def start(cls, command: Sequence[str], environment: Mapping[str, str], deadlines: Deadlines, *,
+                    owns_orphans: bool = False, program: Path = GUARD) -> GuardedCommand:
+        """`owns_orphans`: this process has no other children, so that what a killed guard leaves is the command's.
+        Raises NotStartedError where the command can't be executed."""
+        if owns_orphans:
+            become_subreaper()
+        control, control_end = os.pipe()
+        report, report_end = os.pipe()
+        os.write(control_end, deadlines.packed())
+        try:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-I", "-S", str(program), str(control), str(report_end), *command, env=environment,
+                pass_fds=(control, report_end), start_new_session=True, preexec_fn=become_subreaper)
+        except BaseException:
+            os.close(report)
+            os.close(control_end)
+            raise
+        finally:
+            os.close(control)
+            os.close(report_end)
+        one = cls(process, control_end, owns_orphans)
+        reader = asyncio.StreamReader()
+        transport, _ = await asyncio.get_running_loop().connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(reader), os.fdopen(report, "rb", buffering=0))
+        words = (await reader.readline()).decode().split()
+        if words and words[0] == "failed":
+            await process.wait()
+            transport.close()
+            os.close(control_end)
+            raise NotStartedError(command[0], os.strerror(int(words[1])))
+        if words and words[0] == "started":
+            one.pid = int(words[1])
+            words = []
+        one._reading = asyncio.create_task(one._read_end(reader, transport, words))
+        return one
+
+    async def _read_end(self, reader: asyncio.StreamReader, transport: asyncio.ReadTransport, words: list[str]) -> None:
+        """The guard's report, or the end of its pipe where it was killed."""
+        words = words or (await reader.readline()).decode().split()
+        self.guard_was_lost = not words
+        if words:
+            self.ended_by_itself = words[0] == "exited"
+            self.code = None if words[1] == "-" else int(words[1])
+            self.out_of_reach = tuple(map(int, words[2:]))
+        transport.close()
+        self.ended.set()
+
+    def set_deadlines(self, deadlines: Deadlines) -> None:
+        """From now on these hold."""
+        with contextlib.suppress(BrokenPipeError):  # the guard has ended: its report tells
+            os.write(self._control, deadlines.packed())
+
+    async def close(self, kill_at: float) -> None:
+        """Wait until the guard has ended the command; from `kill_at` on do it in its place, whatever it does."""
+        try:
+            async with asyncio.timeout(max(kill_at - guard.now_ms(), 0.0) / 1000.0):
+                await self.ended.wait()
+        except TimeoutError:
+            self._log.warning("guard_late", guard=self._process.pid, command=self.pid)
+        self._end_in_its_place()
+        await self._process.wait()
+        await self.ended.wait()
+        os.close(self._control)
+        if self.out_of_reach:
+            self._log.error("out_of_reach", command=self.pid, processes=list(self.out_of_reach))
+
+    def _end_in_its_place(self) -> None:
+        """What the guard has left: nothing, unless it was killed or stands still. The guard goes last, so that nothing
+        is started anew below it."""
+        if self.pid:
+            signal_group(self.pid, signal.SIGKILL)
+        for pid in guard.descendants(self._process.pid):
+            guard.send_signal(pid, signal.SIGKILL)
+        guard.send_signal(self._process.pid, signal.SIGKILL)
+        if self._owns_orphans:
+            for pid in guard.descendants(os.getpid()):
+                guard.send_signal(pid, signal.SIGKILL)
--- a/mastlift/duty/holder.py
+++ b/mastlift/duty/holder.py
@@ -19,7 +19,8 @@
 
 
 def now_ms() -> float:
-    return time.monotonic() * 1000.0
+    """CLOCK_BOOTTIME, which the guard of a command uses too: it also counts while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
 
 def prefix(name: str) -> str:
@@ -92,6 +93,10 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.log = get_logger("duty").bind(duty=name, candidate=candidate)
 
+    def now_ms(self) -> float:
+        """The clock by which it may act."""
+        return self._now()
+
     @property
     def state(self) -> Holding:
         """HELD only after `take`; ask it before each action."""
--- a/mastlift/keeper/process.py
+++ b/mastlift/keeper/process.py
@@ -23,7 +23,7 @@
 from mastlift.keeper.grouped import Refused, must_be_new, must_not_be_the_past
 from mastlift.keeper.http import Calls
 from mastlift.keeper.service import Service
-from mastlift.logs import get_logger
+from mastlift.logs import drain_logs, get_logger
 from mastlift.metrics import Metrics
 from mastlift.settings import BadSettings
 
@@ -57,6 +57,7 @@
     """Without a word to anybody who waits: nothing that was not synced may look acknowledged."""
     get_logger("keeper").error("disk_failed", reason=str(error),
                                do="look at the disk; the next start says what stands")
+    drain_logs()
     os._exit(DAMAGE)
 
 
--- a/mastlift/lab/duties.py
+++ b/mastlift/lab/duties.py
@@ -12,12 +12,12 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
 from itertools import pairwise
 from pathlib import Path
 
-from mastlift.lab.chaos import ChaosGroup, one_fault, running, writing
+from mastlift.lab.chaos import one_fault, running, writing
 from mastlift.lab.kill import Verdict, compare
 from mastlift.lab.processes import Child, started
 
@@ -86,11 +86,12 @@
 
 
 @contextlib.asynccontextmanager
-async def holder(group: ChaosGroup, res: Resource, duty: str, name: str, ttl_s: float = 1.5) -> AsyncIterator[Child]:
+async def holder(keepers: Sequence[str], res: Resource, duty: str, name: str,
+                 ttl_s: float = 1.5) -> AsyncIterator[Child]:
     """`mastlift duty hold` with an actor as its command."""
     host, port = res.address
     async with started("-m", "mastlift", "duty", "hold", duty, "--as", name, "--ttl", str(ttl_s), "--keepers",
-                       ",".join(group.keepers), "--", sys.executable, "-S", "-c", ACTOR, host, str(port),
+                       ",".join(keepers), "--", sys.executable, "-S", "-c", ACTOR, host, str(port),
                        duty) as child:
         yield child
 
@@ -137,7 +138,7 @@
 
         async def put(name: str, duty: str) -> None:
             own = contextlib.AsyncExitStack()
-            child = await own.enter_async_context(holder(group, res, duty, name))
+            child = await own.enter_async_context(holder(group.keepers, res, duty, name))
             places[name] = duty, own, child
 
         async def end_all() -> None:
--- /dev/null
+++ b/tests/test_guard.py
@@ -0,0 +1,328 @@
+"""A duty's command ends in time whatever stands still: its holder, its guard, or the reader of the holder's log."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+from mastlift.duty import guard
+from mastlift.duty.guarded import Deadlines, GuardedCommand, NotStartedError
+from mastlift.duty.holder import Seen, all_duties, send_to
+from mastlift.keeper.client import KeeperClient
+from mastlift.lab.duties import ACTOR, Resource, holder, resource
+from mastlift.lab.processes import ROOT, Child, free_address, keeper, keeper_settings, started
+from mastlift.logwriter import BackgroundWriter
+from tests.rig import run
+
+FAR_MS = 60_000.0
+SLACK_MS = 500.0  # for a busy machine: no speed is asserted, only that an end comes and why
+
+
+def deadlines(terminate_ms: float, kill_ms: float) -> Deadlines:
+    now = guard.now_ms()
+    return Deadlines(now + terminate_ms, now + kill_ms)
+
+
+async def guarded(script: str, terminate_ms: float = FAR_MS, kill_ms: float = FAR_MS) -> GuardedCommand:
+    return await GuardedCommand.start(["sh", "-c", script], dict(os.environ), deadlines(terminate_ms, kill_ms))
+
+
+def is_alive(pid: int) -> bool:
+    """Zombies are not."""
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[0] != "Z"
+    except (FileNotFoundError, ProcessLookupError):
+        return False
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+# --- the guard alone ---
+
+
+def test_deadlines_signal_once_and_the_last_message_holds() -> None:
+    one = guard.Deadlines()
+    one.read(b"".join(guard.DEADLINES.pack(*pair) for pair in ((100.0, 200.0), (300.0, 400.0))))
+    assert not one.has_to_terminate(299.0) and not one.is_over(399.0)
+    assert one.wait_s(299.0) == pytest.approx(0.001)
+    assert one.has_to_terminate(300.0) and not one.has_to_terminate(301.0)
+    assert one.wait_s(301.0) == pytest.approx(0.099)
+    assert one.is_over(400.0) and one.wait_s(500.0) == 0.0
+
+
+def test_the_clock_of_deadlines_is_not_one_that_can_be_set() -> None:
+    assert guard.CLOCK not in (time.CLOCK_REALTIME, time.CLOCK_MONOTONIC)  # the latter stands while suspended
+    assert not time.get_clock_info("monotonic").adjustable
+    assert abs(guard.now_ms() - time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0) < SLACK_MS
+
+
+@pytest.mark.parametrize(("script", "code"), [
+    ("sleep 60", -signal.SIGTERM), ("trap '' TERM; sleep 60; sleep 60", -signal.SIGKILL)])
+def test_the_guard_ends_the_command_when_its_time_is_over(script: str, code: int) -> None:
+    async def test() -> None:
+        command = await guarded(script, 300.0, 600.0)
+        await command.ended.wait()
+        assert (command.code, command.ended_by_itself, command.out_of_reach) == (code, False, ())
+        await command.close(guard.now_ms())
+        assert not is_alive(command.pid) and not is_alive(command.guard_pid)
+    run(test)
+
+
+def test_new_deadlines_push_the_end_on() -> None:
+    async def test() -> None:
+        command = await guarded("sleep 60", 400.0, 500.0)
+        command.set_deadlines(deadlines(FAR_MS, FAR_MS))
+        await asyncio.sleep(0.8)
+        assert is_alive(command.pid) and not command.ended.is_set()
+        command.set_deadlines(deadlines(0.0, 0.0))
+        await command.ended.wait()
+        await command.close(guard.now_ms())
+        assert not is_alive(command.pid)
+    run(test)
+
+
+def test_an_exit_code_is_told_and_what_the_command_left_is_ended() -> None:
+    async def test() -> None:
+        command = await guarded("setsid sleep 60 & (sleep 60 &) ; sleep 0.2; exit 7")
+        left: list[int] = []
+        while not command.ended.is_set():
+            left = sorted({*left, *guard.descendants(command.guard_pid)})
+            await asyncio.sleep(0.01)
+        assert (command.code, command.ended_by_itself) == (7, True)
+        assert len(left) >= 3 and not any(map(is_alive, left))
+        await command.close(guard.now_ms())
+    run(test)
+
+
+def test_a_grandchild_in_a_session_of_its_own_whose_parents_are_gone_is_ended_in_time() -> None:
+    async def test() -> None:
+        script = "import os,time\nif os.fork(): os._exit(0)\nos.setsid()\nif os.fork(): os._exit(0)\ntime.sleep(60)"
+        command = await guarded(f"{sys.executable} -S -c '{script}'; sleep 60", 600.0, 700.0)
+        await until(lambda: len(guard.descendants(command.guard_pid)) >= 3)
+        await asyncio.sleep(0.2)
+        found = guard.descendants(command.guard_pid)
+        await command.ended.wait()
+        assert not any(map(is_alive, found))
+        await command.close(guard.now_ms())
+    run(test)
+
+
+def test_a_command_whose_time_is_over_never_begins_and_one_that_can_not_be_run_is_named(tmp_path: Path) -> None:
+    async def test() -> None:
+        command = await guarded(f"touch {tmp_path}/acted", -2.0, -1.0)
+        await command.ended.wait()
+        await command.close(guard.now_ms())
+        assert not (tmp_path / "acted").exists() and not command.ended_by_itself
+        with pytest.raises(NotStartedError, match="/no/such: No such file"):
+            await GuardedCommand.start(["/no/such"], {}, deadlines(FAR_MS, FAR_MS))
+    run(test)
+
+
+def test_a_guard_that_stands_still_is_not_waited_for() -> None:
+    async def test() -> None:
+        command = await guarded("setsid sleep 60 & sleep 60")
+        await until(lambda: len(guard.descendants(command.guard_pid)) >= 3)
+        found = guard.descendants(command.guard_pid)
+        os.kill(command.guard_pid, signal.SIGSTOP)
+        command.set_deadlines(deadlines(0.0, 0.0))
+        await command.close(guard.now_ms() + 50.0)
+        await until(lambda: not any(map(is_alive, found)))
+        assert command.guard_was_lost
+    run(test)
+
+
+# --- the whole: `duty hold` as a process, keepers, a resource that records who acted ---
+
+
+@dataclass(slots=True)
+class Pair:
+    """One holder whose command acts, and another one in the queue."""
+
+    resource: Resource
+    keepers: list[str]
+    first: Child
+    second: Child
+    guard: int
+    command: int
+
+    def signal(self, number: signal.Signals, *pids: int) -> None:
+        for pid in pids:
+            with suppress(ProcessLookupError):
+                os.kill(pid, number)
+
+    async def succeeded(self) -> None:
+        """The other one acts, and has for a while."""
+        taken = await self.second.event("command_started")
+        await until(lambda: self.resource.highest["d"] == taken["token"])
+        await asyncio.sleep(0.5)
+
+
+@asynccontextmanager
+async def pair(folder: Path) -> AsyncIterator[Pair]:
+    listen = free_address()
+    async with (keeper(keeper_settings(folder, listen)), resource() as res,
+                holder([listen], res, "d", "one") as first):
+        begun = await first.event("command_started")
+        await until(lambda: res.acted > 0)
+        async with holder([listen], res, "d", "two") as second:
+            async with KeeperClient([listen]) as client:
+                while not (await all_duties(client))["d"].line:
+                    await asyncio.sleep(0.01)
+            yield Pair(res, [listen], first, second, int(begun["guard"]), int(begun["pid"]))
+
+
+@pytest.mark.parametrize("fault", ["holder stopped", "holder killed", "guard killed", "holder stopped and killed"])
+def test_nothing_acts_under_an_older_token(tmp_path: Path, fault: str) -> None:
+    async def test() -> None:
+        async with pair(tmp_path) as two:
+            if fault == "guard killed":
+                two.signal(signal.SIGKILL, two.guard)
+            else:
+                if "stopped" in fault:
+                    two.first.send(signal.SIGSTOP)
+                if "killed" in fault:
+                    two.first.send(signal.SIGKILL)
+            await two.succeeded()
+            assert two.resource.refused["d"] == 0
+            assert not is_alive(two.command) and not is_alive(two.guard)
+            if fault == "guard killed":
+                assert (await two.first.event("command_ended"))["why"] == "its guard was lost"
+    run(test)
+
+
+def test_a_guard_that_stands_still_does_not_keep_the_duty(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with pair(tmp_path) as two:
+            two.signal(signal.SIGSTOP, two.guard)
+            async with KeeperClient(two.keepers) as client:
+                assert await send_to(client, "d", "two")
+            await two.succeeded()
+            assert two.resource.refused["d"] == 0
+            assert not is_alive(two.command) and not is_alive(two.guard)
+            await two.first.event("guard_late")
+    run(test)
+
+
+def test_on_waking_together_the_first_thing_is_the_end_of_the_command(tmp_path: Path) -> None:
+    """All stood still past the lease: only the token decides what the command does until then."""
+    async def test() -> None:
+        async with pair(tmp_path) as two:
+            everybody = (two.command, two.guard, two.first.process.pid)
+            two.signal(signal.SIGSTOP, *everybody)
+            await two.succeeded()
+            two.signal(signal.SIGCONT, *everybody)
+            await until(lambda: not is_alive(two.command))
+            assert (await two.first.event("command_ended"))["why"] in ("lost", "no renewal in time")
+            refused = two.resource.refused["d"]
+            await asyncio.sleep(0.3)
+            assert two.resource.refused["d"] == refused
+    run(test)
+
+
+def test_a_log_that_nobody_reads_stops_neither_renewals_nor_the_end_of_a_command(tmp_path: Path) -> None:
+    async def test() -> None:
+        listen = free_address()
+        reading, writing = os.pipe()
+        os.set_blocking(writing, False)
+        with suppress(BlockingIOError):
+            while True:
+                os.write(writing, b"x" * 4096)
+        os.set_blocking(writing, True)
+        async with (keeper(keeper_settings(tmp_path, listen)), resource() as res):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "mastlift", "duty", "hold", "d", "--ttl", "1", "--keepers", listen, "--",
+                sys.executable, "-S", "-c", ACTOR, *map(str, res.address), "d", cwd=ROOT, stderr=writing)
+            try:
+                await until(lambda: res.acted > 0)
+                await asyncio.sleep(2.5)  # past the lease: only renewals have kept it
+                acted = res.acted
+                await until(lambda: res.acted > acted)
+                assert len(res.first) == 1
+                process.terminate()
+                assert await process.wait() == 0
+                acted = res.acted
+                await asyncio.sleep(0.3)
+                assert res.acted == acted
+            finally:
+                with suppress(ProcessLookupError):
+                    process.kill()
+                os.close(reading)
+                os.close(writing)
+    run(test)
+
+
+STARVED = """
+import asyncio, sys, time
+from mastlift.duty.command import hold
+from mastlift.duty.holder import Duty
+from mastlift.keeper.client import KeeperClient
+
+async def main():
+    async with KeeperClient([sys.argv[1]]) as client:
+        asyncio.get_running_loop().call_later(1.0, time.sleep, 4.0)
+        await hold(Duty(client, "d", "one", 1000), sys.argv[2:], asyncio.Event(), 250.0)
+
+asyncio.run(main())
+"""
+
+
+def test_a_starved_loop_does_not_keep_the_command_alive(tmp_path: Path) -> None:
+    async def test() -> None:
+        listen = free_address()
+        async with keeper(keeper_settings(tmp_path, listen)), resource() as res:
+            actor = (sys.executable, "-S", "-c", ACTOR, *map(str, res.address), "d")
+            async with started("-c", STARVED, listen, *actor), holder([listen], res, "d", "two", 1.0) as second:
+                await until(lambda: len(res.first) == 2)
+                await asyncio.sleep(0.5)
+                assert res.refused["d"] == 0
+                assert (await second.event("command_started"))["token"] == res.highest["d"]
+    run(test)
+
+
+def test_a_command_that_can_not_be_run_gives_the_duty_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        listen = free_address()
+        async with keeper(keeper_settings(tmp_path, listen)):
+            async with started("-m", "mastlift", "duty", "hold", "d", "--keepers", listen, "--", "/no/such") as child:
+                await child.line("/no/such: No such file")
+                assert await child.process.wait() == 2
+            async with KeeperClient([listen]) as client:
+                assert not (await all_duties(client)).get("d", Seen()).holder
+    run(test)
+
+
+# --- the log's writer ---
+
+
+def test_lines_keep_their_order_and_what_does_not_fit_is_counted() -> None:
+    reading, writing = os.pipe()
+    writer = BackgroundWriter(writing, most_waiting=100)
+    try:
+        line = "x" * 4000 + "\n"
+        for _ in range(17):
+            writer.write(line)
+        assert not writer.drain(0.05)  # the pipe is full: nobody reads
+        for number in range(300):
+            writer.write(f"{number}\n")
+        read = b""
+        while b"log_lines_dropped" not in read:
+            read += os.read(reading, 65536)
+        assert writer.drain(5.0)
+        numbers = [int(word) for word in read.decode().split("\n") if word.isdigit()]
+        assert numbers == sorted(numbers) and 0 < len(numbers) <= 100
+        assert f'"lines": {300 - len(numbers)}' in read.decode()
+    finally:
+        os.close(reading)
+        os.close(writing)
