Run a command and its guard in the simulated duties, both who end it late at times

Need: the simulated form let a holder act only when it asked its clock, so a command that acts on by itself, and a process that ends it late, could not be seen. Mutations: no guard, guard 100 ms late, guard by wall time.

--- a/mastlift/duty/command.py
+++ b/mastlift/duty/command.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 from pathlib import Path
 
+from mastlift.duty.clock import HolderClock
 from mastlift.duty.guarded import GUARD, Deadlines, GuardedCommand
 from mastlift.duty.holder import Duty
 from mastlift.logs import get_logger
@@ -29,9 +30,9 @@
     GUARD_LOST = "its guard was lost"
 
 
-def _deadlines(duty: Duty, grace_ms: float) -> Deadlines:
-    """By the lease's arithmetic. `terminate_at` leaves the command its grace."""
-    kill_at = duty.clock.acts_until - KILL_BEFORE_MS
+def deadlines_of(clock: HolderClock, grace_ms: float) -> Deadlines:
+    """By the lease's arithmetic; SIGTERM leaves the command its grace, in milliseconds."""
+    kill_at = clock.acts_until - KILL_BEFORE_MS
     return Deadlines(kill_at - grace_ms, kill_at)
 
 
@@ -55,8 +56,9 @@
             token = await _take(duty, ending)
             if token is None:
                 return 0
-            running = await GuardedCommand.start(command, {**os.environ, TOKEN: str(token)}, _deadlines(duty, grace_ms),
-                                                 owns_orphans=True, program=guard_program)
+            running = await GuardedCommand.start(command, {**os.environ, TOKEN: str(token)},
+                                                 deadlines_of(duty.clock, grace_ms), owns_orphans=True,
+                                                 program=guard_program)
             log.info("command_started", token=token, pid=running.pid, guard=running.guard_pid)
             reason = EndReason.LOST
             try:
@@ -94,7 +96,7 @@
     try:
         while True:
             duty.changed.clear()
-            command.set_deadlines(_deadlines(duty, grace_ms))
+            command.set_deadlines(deadlines_of(duty.clock, grace_ms))
             left_ms = duty.clock.left_ms(duty.now_ms()) - grace_ms - KILL_BEFORE_MS
             if reason := _reason_to_end(duty, command, ending, left_ms):
                 return reason
--- a/mastlift/lab/mutations.py
+++ b/mastlift/lab/mutations.py
@@ -140,11 +140,26 @@
     return store
 
 
+_watch, _guard_now = dutysim.Guard.watch, dutysim.Guard.now
+
+
+def _watch_late(self: dutysim.Guard, kill_at: float) -> None:
+    _watch(self, kill_at + 100.0)
+
+
+def _wall_time(self: dutysim.Guard) -> float:
+    """A clock that is set by up to 0.7 s either way, once a second."""
+    return _guard_now(self) + (int(self.group.now // 1000.0) % 3 - 1) * 700.0
+
+
 DUTY_MUTATIONS: dict[str, tuple[Any, str, Any]] = {
     "lease-counted-from-answer": (dutysim.Holder, "renewed", _count_from_answer),
     "clock-not-asked": (clock.HolderClock, "state", _never_ask_the_clock),
     "new-leader-ends-leases": (leasesim.LeaseGroup, "_leases", staticmethod(_no_time_again)),
     "token-reused-after-restart": (groupsim, "load_snapshot", _count_anew),
+    "no-guard": (dutysim.Guard, "_look", lambda self: None),
+    "guard-ends-late": (dutysim.Guard, "watch", _watch_late),
+    "guard-trusts-wall-time": (dutysim.Guard, "now", _wall_time),
     "end-despite-renewal": (leasesim.LeaseGroup, "ending", _end_whatever_came),
 }
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -36,9 +36,11 @@
     found = play(range(32), what="duties")
     assert not found.broken, (found.broken, found.trace)
     assert found.seen["actions"] > 10_000 and found.seen["holders in turn"] > 60
+    assert found.seen["late actions of commands"] > 0  # both who end it stood still: the checker sees such a case
 
 
-@pytest.mark.parametrize("name", ["lease-counted-from-answer", "clock-not-asked", "new-leader-ends-leases"])
+@pytest.mark.parametrize("name", ["lease-counted-from-answer", "clock-not-asked", "new-leader-ends-leases", "no-guard",
+                                  "guard-trusts-wall-time"])
 def test_a_rule_of_duties_broken_on_purpose_is_found(name: str) -> None:
     found = play(range(96), mutation=name, shrink_tries=8, what="duties")
     assert found.broken and "lab check duties --runs 1 --seed" in found.broken
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -15,6 +15,8 @@
 import pytest
 
 from mastlift.duty import guard
+from mastlift.duty.clock import RATE_MARGIN, HolderClock
+from mastlift.duty.command import BACKUP_BEFORE_MS, KILL_BEFORE_MS, deadlines_of
 from mastlift.duty.guarded import Deadlines, GuardedCommand, NotStartedError
 from mastlift.duty.holder import Seen, all_duties, is_held, put_while_held, send_to
 from mastlift.keeper.client import KeeperClient
@@ -143,6 +145,23 @@
     run(test)
 
 
+def test_a_guard_s_deadline_is_within_the_lease_s_arithmetic() -> None:
+    holder_clock = HolderClock(2_000.0)
+    holder_clock.renewed(1_000.0)
+    sent = deadlines_of(holder_clock, 500.0)
+    assert sent.kill_at == holder_clock.until - KILL_BEFORE_MS < 1_000.0 + 2_000.0 * (1.0 - RATE_MARGIN)
+    assert sent.terminate_at == sent.kill_at - 500.0
+    assert BACKUP_BEFORE_MS < KILL_BEFORE_MS  # the holder, where the guard is late, is still in time
+    holder_clock.gone()
+    assert guard_is_over(deadlines_of(holder_clock, 500.0))
+
+
+def guard_is_over(sent: Deadlines) -> bool:
+    read = guard.Deadlines()
+    read.read(sent.packed())
+    return read.is_over(0.0)
+
+
 # --- the whole: `duty hold` as a process, keepers, a resource that records who acted ---
 
 
