--- a/mastlift/cli.py
+++ b/mastlift/cli.py
@@ -383,7 +383,7 @@
 
 @app.command("bench")
 @plainly
-def bench(name: Annotated[str, typer.Argument(help="durable, consensus, discovery, config, capacity or proxy")],
+def bench(name: Annotated[str, typer.Argument(help="durable, consensus, duty, discovery, config, capacity or proxy")],
           quick: Annotated[bool, typer.Option("--quick", help="Within 50 s on 8 cores.")] = False,
           json: Annotated[Path | None, typer.Option(help="Write the figures to this file, one flat object.")] = None,
           report: Annotated[Path | None, typer.Option(help="Draw plots into this folder, PNG.")] = None,
