--- a/jasperhall/balancer.py
+++ b/balancing/balancer.py
@@ -1,4 +1,4 @@
-"""All decisions of jasperhall, without clock or I/O. Types, events and actions: jasperhall/api.py.
+"""All decisions of balancing, without clock or I/O. Types, events and actions: balancing/api.py.
 
 A request goes to the next server of an even weighted rotation. Without an answer after a fixed delay
 a call that is safe to repeat gets one backup copy on another server, if backups are still a small
@@ -15,9 +15,9 @@
 from typing import Any
 from zlib import crc32
 
-from jasperhall import api
-from jasperhall.api import QUEUE_WAIT_MS, Effect, ListKind, Outcome, Scope, State
-from jasperhall.outdated import OutdatedList
+from balancing import api
+from balancing.api import QUEUE_WAIT_MS, Effect, ListKind, Outcome, Scope, State
+from balancing.outdated import OutdatedList
 
 MAX_BACKUP_RATIO = 0.05  # backups among the legs of the window; copies are held from here on
 WINDOW_MS = 10_000.0
--- a/jasperhall/outdated.py
+++ b/balancing/outdated.py
@@ -8,7 +8,7 @@
 
 import math
 
-from jasperhall.api import QUEUE_WAIT_MS, ListChanged
+from balancing.api import QUEUE_WAIT_MS, ListChanged
 
 LONGEST_WAIT_MS = 2.0 * QUEUE_WAIT_MS  # a call for the list that is refused after its wait, and the next one
 
--- a/cometdoor/config.py
+++ b/cometdoor/config.py
@@ -16,8 +16,8 @@
 
 import orjson
 
-from jasperhall import api
-from jasperhall.simhost import EFFECTS, SCOPES, part, read_settings
+from balancing import api
+from balancing.simhost import EFFECTS, SCOPES, part, read_settings
 
 Address = tuple[str, int]
 
--- a/cometdoor/frontend.py
+++ b/cometdoor/frontend.py
@@ -16,11 +16,11 @@
 
 import httptools
 
+from balancing.api import Effect
 from cometdoor.config import Address, NodeConfig, method_of
 from cometdoor.flow import LONGEST, STALL_S, WHOLE, Budget, Inflow
 from cometdoor.lifecycle import LifeCycle
 from cometdoor.upstream import Descriptors, Source
-from jasperhall.api import Effect
 
 log = logging.getLogger(__name__)
 
--- a/cometdoor/proxy.py
+++ b/cometdoor/proxy.py
@@ -14,6 +14,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from balancing import Balancer, api
+from balancing.api import ListKind, Outcome, State
+from balancing.outdated import OutdatedList
 from cometdoor.config import Address, NodeConfig
 from cometdoor.discovery import Discovery, ListReader
 from cometdoor.flow import Budget
@@ -28,9 +31,6 @@
 from cometdoor.lifecycle import LifeCycle
 from cometdoor.listfile import read_list
 from cometdoor.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source, Start
-from jasperhall import Balancer, api
-from jasperhall.api import ListKind, Outcome, State
-from jasperhall.outdated import OutdatedList
 
 log = logging.getLogger(__name__)
 
--- a/cometdoor/watch.py
+++ b/cometdoor/watch.py
@@ -11,8 +11,8 @@
 import httptools
 import orjson
 
+from balancing.api import Server
 from cometdoor.config import Address
-from jasperhall.api import Server
 
 LONGEST_OBJECT = 8 << 20  # bytes: some 40,000 servers
 LIFE = "Mastlift-Life"  # names the history that revisions are of, where discovery says it
--- a/jasperhall/__init__.py
+++ b/jasperhall/__init__.py
@@ -1,6 +1,10 @@
-"""Load-balancing decisions for services that call services: backup requests under a ratio cap."""
+"""The former name of `balancing`, kept for one release."""
 
-from jasperhall import api
-from jasperhall.balancer import Balancer
+import warnings
+
+from balancing import Balancer, api
 
 __all__ = ["Balancer", "api"]
+
+warnings.warn("the package jasperhall is now balancing; the old name goes with the next release", FutureWarning,
+              stacklevel=2)
--- a/mastlift/lab/capacity/hollow.py
+++ b/mastlift/lab/capacity/hollow.py
@@ -19,11 +19,11 @@
 import msgspec
 import structlog
 
+from balancing.api import ListChanged, Server, State
+from balancing.balancer import Balancer
+from balancing.simhost import read_settings
 from cometdoor.config import Address, read_addresses
 from cometdoor.discovery import STATES, Discovery, ListReader
-from jasperhall.api import ListChanged, Server, State
-from jasperhall.balancer import Balancer
-from jasperhall.simhost import read_settings
 from mastlift.discovery.lists import Registered
 from mastlift.discovery.registration import AGAIN_S, Place, Registration, Standing
 from mastlift.duty.clock import Holding
--- a/mastlift/lab/capacity/variant.py
+++ b/mastlift/lab/capacity/variant.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
+from balancing import balancer
 from cometdoor.__main__ import main as run_proxy
-from jasperhall import balancer
 
 START_LINES = ("serves on", "discovery: at revision")
 
--- a/mastlift/lab/emulator/backend.py
+++ b/mastlift/lab/emulator/backend.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from jasperhall.api import Outcome
+from balancing.api import Outcome
 from mastlift.lab.emulator.clock import Clock, Due
 from mastlift.lab.emulator.machine import Job, Machine, MachineSpec
 from mastlift.lab.emulator.network import Network
--- a/mastlift/lab/emulator/host.py
+++ b/mastlift/lab/emulator/host.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from enum import Enum
 
-from jasperhall import api
-from jasperhall.balancer import Balancer
+from balancing import api
+from balancing.balancer import Balancer
 from mastlift.lab.emulator.backend import Attempt, Backend, Calls
 from mastlift.lab.emulator.clock import Clock
 
--- a/mastlift/lab/emulator/lists.py
+++ b/mastlift/lab/emulator/lists.py
@@ -16,9 +16,9 @@
 from itertools import count
 from typing import Any, cast
 
+from balancing import api
+from balancing.balancer import Balancer
 from cometdoor.discovery import Discovery, ListReader
-from jasperhall import api
-from jasperhall.balancer import Balancer
 from mastlift.lab.emulator.clock import Clock, Due
 
 START_S = 1000.0
--- a/mastlift/lab/listsim.py
+++ b/mastlift/lab/listsim.py
@@ -17,10 +17,10 @@
 
 import orjson
 
+from balancing.api import ListChanged
 from cometdoor import discovery as client_
 from cometdoor.config import Address
 from cometdoor.watch import Objects, WatchConnection
-from jasperhall.api import ListChanged
 from mastlift.consensus import core as r
 from mastlift.discovery.hold import Due, Hold
 from mastlift.discovery.lists import LIST, list_key, tier_and_id
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -8,9 +8,9 @@
 
 from dataclasses import dataclass, field, replace
 
-from jasperhall import api
-from jasperhall.api import Effect, ListKind, Outcome, Scope, State
-from jasperhall.balancer import Balancer
+from balancing import api
+from balancing.api import Effect, ListKind, Outcome, Scope, State
+from balancing.balancer import Balancer
 
 
 class RuleBroken(AssertionError):
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,13 +14,13 @@
 
 import uvloop
 
+from balancing import api
 from cometdoor.config import NodeConfig, read_config
 from cometdoor.flow import Budget
 from cometdoor.frontend import Frontend, RequestReader
 from cometdoor.lifecycle import LifeCycle
 from cometdoor.proxy import Proxy
 from cometdoor.upstream import Descriptors
-from jasperhall import api
 from tests.test_simhost import INFO
 
 LANES = [{**INFO["lanes"][0], "name": "read"},  # type: ignore[index]
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -11,8 +11,8 @@
 
 import pytest
 
+from balancing.api import Outcome
 from cometdoor.upstream import Connection
-from jasperhall.api import Outcome
 from tests.rig import FakeServer, Rig, Script, first_of, first_to, member, run, scripted_proxy
 
 STALE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from jasperhall import api, balancer
-from jasperhall.api import ListKind, Outcome, State
-from jasperhall.balancer import Admission
+from balancing import api, balancer
+from balancing.api import ListKind, Outcome, State
+from balancing.balancer import Admission
 from tests.harness import KEYED, KEYED_ALL, SAFE, SETTINGS, UNSAFE, Checker, servers
 
 SAFE_INDEX, KEYED_INDEX, KEYED_ALL_INDEX, UNSAFE_INDEX = range(4)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -9,10 +9,10 @@
 
 import pytest
 
+from balancing import api
+from balancing.api import Outcome
 from cometdoor import flow
 from cometdoor.flow import WHOLE, Budget
-from jasperhall import api
-from jasperhall.api import Outcome
 from tests.rig import FakeServer, Rig, Script, first_to, member, run
 
 LONG = os.urandom(3_000_000)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -14,8 +14,8 @@
 
 import pytest
 
-from jasperhall import api
-from jasperhall.balancer import Balancer
+from balancing import api
+from balancing.balancer import Balancer
 
 SAFE = api.RequestClass(aim_ms=1000, deadline_ms=3000, late_worth=0.5)
 SETTINGS = api.Settings(classes=(SAFE, replace(SAFE, effect=api.Effect.UNSAFE)), cold_from=0.14, warm_up_ms=24_000.0,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,11 +11,11 @@
 
 import pytest
 
+from balancing import api
+from balancing.api import ListKind, State
 from cometdoor.config import read_config
 from cometdoor.discovery import ListReader
 from cometdoor.listfile import read_list, write_list
-from jasperhall import api
-from jasperhall.api import ListKind, State
 from tests.rig import FakeServer, Rig, Script, make_config, member, run
 
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -11,8 +11,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from jasperhall import api
-from jasperhall.api import NEVER_RAN, Outcome
+from balancing import api
+from balancing.api import NEVER_RAN, Outcome
 from mastlift.lab.emulator.backend import Attempt, Backend, BackendSpec, Calls
 from mastlift.lab.emulator.clock import Clock
 from mastlift.lab.emulator.host import Answer, Arrivals, Host
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -9,8 +9,8 @@
 
 import pytest
 
+from balancing import api
 from cometdoor.config import BadConfig, load_config
-from jasperhall import api
 from tests.rig import LANES, FakeServer, Rig, first_call, member, run, scripted_proxy
 from tests.test_retune import Running, base, new_lanes, setting, written
 
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -8,9 +8,9 @@
 
 import pytest
 
+from balancing import api
 from cometdoor import frontend
 from cometdoor.upstream import Descriptors
-from jasperhall import api
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
 
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from jasperhall import balancer
-from jasperhall.balancer import BackupGate
+from balancing import balancer
+from balancing.balancer import BackupGate
 
 
 def do_backup(gate: BackupGate, now: float) -> bool:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,15 +15,15 @@
 
 import pytest
 
+from balancing import api
+from balancing.api import Outcome, State
+from balancing.balancer import Balancer
 from cometdoor import handover
 from cometdoor.__main__ import Succession
 from cometdoor.handover import Handover
 from cometdoor.lifecycle import LifeCycle, Phase
 from cometdoor.proxy import Proxy
 from cometdoor.upstream import Descriptors
-from jasperhall import api
-from jasperhall.api import Outcome, State
-from jasperhall.balancer import Balancer
 from tests.harness import SAFE, SETTINGS, Checker, servers
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, make_config, member, run
 from tests.test_control import call, launch
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -10,9 +10,9 @@
 
 import pytest
 
+from balancing import api
+from balancing.api import Outcome
 from cometdoor.upstream import Connection
-from jasperhall import api
-from jasperhall.api import Outcome
 from tests.harness import KEYED, SAFE, SETTINGS, UNSAFE, Checker, servers
 from tests.rig import FakeServer, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_simhost import INFO
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -15,10 +15,10 @@
 
 import pytest
 
+from balancing import api
 from cometdoor.frontend import LINGERED_S, ClientConnection, ClientRequest
 from cometdoor.proxy import Attempt, LiveRequest
 from cometdoor.upstream import Connection
-from jasperhall import api
 from tests.rig import Caller, FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_gone import final, nothing_begins, noticed
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -18,12 +18,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from balancing import api
+from balancing.api import ListKind
+from balancing.balancer import Balancer
 from cometdoor.discovery import ListReader
 from cometdoor.upstream import Connection
 from cometdoor.watch import Objects
-from jasperhall import api
-from jasperhall.api import ListKind
-from jasperhall.balancer import Balancer
 from mastlift.lab.emulator import ended_watches
 from mastlift.lab.emulator.lists import GRACE_S, NEWS_DUE_S, SETTINGS, World
 from tests.rig import FakeServer, Rig, member, run
--- a/tests/test_outdated_list.py
+++ b/tests/test_outdated_list.py
@@ -9,11 +9,11 @@
 
 import pytest
 
+from balancing import api
+from balancing.api import ListKind, Outcome, State
+from balancing.outdated import LONGEST_WAIT_MS, OutdatedList
 from cometdoor.proxy import LAST_START
 from cometdoor.upstream import Connection
-from jasperhall import api
-from jasperhall.api import ListKind, Outcome, State
-from jasperhall.outdated import LONGEST_WAIT_MS, OutdatedList
 from mastlift.lab.emulator import outdated_list
 from mastlift.lab.emulator.lists import ENDED_DUE_S, World
 from tests.harness import SETTINGS, Checker, servers
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from jasperhall import api
-from jasperhall.api import Outcome
+from balancing import api
+from balancing.api import Outcome
 from tests.rig import FakeServer, Rig, Script, first_to, member, run
 
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -13,11 +13,11 @@
 
 import pytest
 
+from balancing import api
+from balancing.api import Effect, Outcome
 from cometdoor.__main__ import Reload
 from cometdoor.config import BadConfig, NodeConfig, load_config
 from cometdoor.frontend import RequestReader
-from jasperhall import api
-from jasperhall.api import Effect, Outcome
 from tests.harness import KEYED, SAFE, SETTINGS, UNSAFE, Checker, servers
 from tests.rig import LANES, FakeServer, Rig, Script, first_to, make_config, member, run
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,8 +10,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jasperhall import api
-from jasperhall.api import ListKind, Outcome, State
+from balancing import api
+from balancing.api import ListKind, Outcome, State
 from tests.harness import KEYED, KEYED_ALL, SAFE, SETTINGS, UNSAFE, Checker, Owed, RuleBroken, servers
 
 STEPS = st.lists(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from jasperhall import Balancer, api
+from balancing import Balancer, api
 from tests.harness import SAFE, SETTINGS
 
 
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from jasperhall.simhost import read_settings
+from balancing.simhost import read_settings
 
 LANE = {"aim_ms": 1000.0, "deadline_ms": 3000.0, "dedup_scope": "all", "effect": "retryable",
         "key_ttl_ms": 0.0, "late_worth": 0.2, "name": "read", "stream": False, "worth": 1.0,
@@ -50,7 +50,7 @@
 def run(*lines: Any, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     text = "".join((line if isinstance(line, str) else json.dumps(line)) + "\n" for line in lines)
     return subprocess.run(
-        [sys.executable, "-m", "jasperhall.simhost"], input=text, capture_output=True, text=True,
+        [sys.executable, "-m", "balancing.simhost"], input=text, capture_output=True, text=True,
         timeout=60, env={**os.environ, "PYTHONHASHSEED": hash_seed}, check=False)
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,10 +10,10 @@
 
 import pytest
 
+from balancing import api
+from balancing.api import Outcome
 from cometdoor.flow import Budget
 from cometdoor.upstream import Answer, Descriptors, Exchange, Pool
-from jasperhall import api
-from jasperhall.api import Outcome
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
 
 NEVER_RAN = "X-Never-Ran: 1"
