Rename the package cometdoor to proxy

Need: the name says nothing; the package is the proxy's network side. `python -m cometdoor` stays for one release, with a warning. Log lines and the one line of a refused start begin with `proxy`; the files by which an old and a new process find each other keep their prefix, since both versions meet there.

--- a/cometdoor/__init__.py
+++ b/cometdoor/__init__.py
@@ -1,1 +1,1 @@
-"""The real proxy round the decision module of balancing: sockets, time and bookkeeping, no decisions."""
+"""The former name of `proxy`, kept for one release."""
--- a/mastlift/__init__.py
+++ b/mastlift/__init__.py
@@ -1,1 +1,1 @@
-"""What runs a fleet of cometdoor proxies and their servers through failures. `mastlift --help` shows the way in."""
+"""What runs a fleet of proxy proxies and their servers through failures. `mastlift --help` shows the way in."""
--- a/mastlift/configuration/checks.py
+++ b/mastlift/configuration/checks.py
@@ -7,9 +7,9 @@
 
 import orjson
 
-from cometdoor.config import missing_keys, read_config
 from mastlift.configuration.versions import DISTRIBUTED, LOCAL_SETTINGS, Version, merge
 from mastlift.settings import BadSettings
+from proxy.config import missing_keys, read_config
 
 MOST_BYTES = 256 << 10  # each of the kept versions has so many in every keeper's memory
 PLACEHOLDERS: dict[str, Any] = {"name": "check", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": 0}
--- a/mastlift/configuration/versions.py
+++ b/mastlift/configuration/versions.py
@@ -114,7 +114,7 @@
 # --- the proxy's file ---
 
 def settings_digest(raw: Mapping[str, Any]) -> str:
-    """As the proxy's own `cometdoor.control.settings_digest`, without loading the proxy into each agent."""
+    """As the proxy's own `proxy.control.settings_digest`, without loading the proxy into each agent."""
     settings = {name: value for name, value in raw.items() if name != "known"}
     return hashlib.sha256(orjson.dumps(settings, option=orjson.OPT_SORT_KEYS)).hexdigest()
 
--- a/mastlift/lab/benches/discovery.py
+++ b/mastlift/lab/benches/discovery.py
@@ -216,8 +216,8 @@
 
 async def watch_as_proxies(addresses: list[str], count: int) -> None:
     """So many of the proxy's own discovery clients; a line `up T` when all have a watch that answers, `down T` else."""
-    from cometdoor.config import read_addresses
-    from cometdoor.discovery import Discovery, ListReader
+    from proxy.config import read_addresses
+    from proxy.discovery import Discovery, ListReader
 
     def has_watch(one: Discovery) -> bool:
         watch = one._watch
@@ -274,9 +274,9 @@
 
 async def _all_gone(clients: int, seconds: float) -> Figures:
     """Calls per second of so many proxies' clients, none of whose three addresses answers, once their pauses grew."""
-    from cometdoor import discovery
-    from cometdoor.config import read_address
-    from cometdoor.watch import WatchConnection
+    from proxy import discovery
+    from proxy.config import read_address
+    from proxy.watch import WatchConnection
 
     calls = [0]
 
--- a/mastlift/lab/benches/proxy.py
+++ b/mastlift/lab/benches/proxy.py
@@ -39,7 +39,7 @@
 CHAIN_DRAWS = 20_000
 QUEUE_DRAWS = 200_000
 VARIANT = ("-m", "mastlift.lab.capacity.variant")
-EXPERIMENTS = {"plain": ("-m", "cometdoor"), "no_gc": (*VARIANT, "no-gc"), "no_log": (*VARIANT, "no-log")}
+EXPERIMENTS = {"plain": ("-m", "proxy"), "no_gc": (*VARIANT, "no-gc"), "no_log": (*VARIANT, "no-log")}
 
 
 @dataclass(frozen=True, slots=True)
--- a/mastlift/lab/capacity/hollow.py
+++ b/mastlift/lab/capacity/hollow.py
@@ -22,8 +22,6 @@
 from balancing.api import ListChanged, Server, State
 from balancing.balancer import Balancer
 from balancing.simhost import read_settings
-from cometdoor.config import Address, read_addresses
-from cometdoor.discovery import STATES, Discovery, ListReader
 from mastlift.discovery.lists import Registered
 from mastlift.discovery.registration import AGAIN_S, Place, Registration, Standing
 from mastlift.duty.clock import Holding
@@ -31,6 +29,8 @@
 from mastlift.keeper.client import KeeperClient, Refused, Unreachable
 from mastlift.lab.capacity.counting import CountingLoop, Traffic, total
 from mastlift.lab.fleet import SETTINGS
+from proxy.config import Address, read_addresses
+from proxy.discovery import STATES, Discovery, ListReader
 
 ENTER_AT_ONCE = 200  # coroutines of one process that register at the same moment
 DUTIES_AT_ONCE = 20
--- a/mastlift/lab/capacity/variant.py
+++ b/mastlift/lab/capacity/variant.py
@@ -1,7 +1,7 @@
 """The proxy with one thing changed, to see what its tail comes from: `python -m mastlift.lab.capacity.variant NAME`.
 
 `no-gc` never collects garbage, `no-log` writes no lines after its start, `timed` prints at its end how long decisions
-and collections took. The proxy itself is the one of `python -m cometdoor`.
+and collections took. The proxy itself is the one of `python -m proxy`.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 import msgspec
 
 from balancing import balancer
-from cometdoor.__main__ import main as run_proxy
+from proxy.__main__ import main as run_proxy
 
 START_LINES = ("serves on", "discovery: at revision")
 
--- a/mastlift/lab/configfleet.py
+++ b/mastlift/lab/configfleet.py
@@ -69,7 +69,7 @@
 
     async def start_proxy(self) -> None:
         self.proxy = await self._stack.enter_async_context(
-            started("-m", "cometdoor", environment={"NODE_CONFIG": str(self.file)}))
+            started("-m", "proxy", environment={"NODE_CONFIG": str(self.file)}))
         await self.proxy.line("serves on")
 
     async def end_proxy(self) -> None:
--- a/mastlift/lab/emulator/lists.py
+++ b/mastlift/lab/emulator/lists.py
@@ -18,8 +18,8 @@
 
 from balancing import api
 from balancing.balancer import Balancer
-from cometdoor.discovery import Discovery, ListReader
 from mastlift.lab.emulator.clock import Clock, Due
+from proxy.discovery import Discovery, ListReader
 
 START_S = 1000.0
 GRACE_S, NEWS_DUE_S, LINE_S = 0.25, 6.0, 2.0  # of the terms, and not taken from the program
--- a/mastlift/lab/fleet.py
+++ b/mastlift/lab/fleet.py
@@ -49,7 +49,7 @@
 @contextlib.asynccontextmanager
 async def proxy(folder: Path, backends: dict[str, str], discovery: str | list[str] = "127.0.0.1:1",
                 list_file: Path | None = None, must_ask: bool = False,
-                program: tuple[str, ...] = ("-m", "cometdoor")) -> AsyncIterator[tuple[str, Child]]:
+                program: tuple[str, ...] = ("-m", "proxy")) -> AsyncIterator[tuple[str, Child]]:
     """A real proxy before the named backends; its address and process. `program` are Python's arguments."""
     listen = free_address()
     folder.mkdir(parents=True, exist_ok=True)
--- a/mastlift/lab/listsim.py
+++ b/mastlift/lab/listsim.py
@@ -18,9 +18,6 @@
 import orjson
 
 from balancing.api import ListChanged
-from cometdoor import discovery as client_
-from cometdoor.config import Address
-from cometdoor.watch import Objects, WatchConnection
 from mastlift.consensus import core as r
 from mastlift.discovery.hold import Due, Hold
 from mastlift.discovery.lists import LIST, list_key, tier_and_id
@@ -30,6 +27,9 @@
 from mastlift.store import commands as c
 from mastlift.store.history import Compacted
 from mastlift.store.machine import LIST_BASE_KEY
+from proxy import discovery as client_
+from proxy.config import Address
+from proxy.watch import Objects, WatchConnection
 
 TIER, BASE = "t", 1_000_000
 SERVERS, PROXIES = 10, 3
--- a/mastlift/lab/walk.py
+++ b/mastlift/lab/walk.py
@@ -20,7 +20,7 @@
 async def walk(folder: Path, tell: Tell) -> bool:
     """Play it; True if all came out as it should. All processes have ended when this returns."""
     async with served_meanwhile(folder) as client:
-        tell("a proxy (python -m cometdoor) before two stand-in backends, asked 50 times a second from here on")
+        tell("a proxy (python -m proxy) before two stand-in backends, asked 50 times a second from here on")
         fine = await walk_alone(folder / "alone", tell)
         async with running(folder / "group") as group:
             fine &= await walk_duty(group, tell)
--- a/cometdoor/control.py
+++ b/proxy/control.py
@@ -16,8 +16,8 @@
 import httptools
 import orjson
 
-from cometdoor.config import Address
-from cometdoor.lifecycle import LifeCycle
+from proxy.config import Address
+from proxy.lifecycle import LifeCycle
 
 MAX_OPEN = 8
 DESCRIPTORS = MAX_OPEN + 3  # set aside: the listener, and connections that are just closing
--- a/cometdoor/discovery.py
+++ b/proxy/discovery.py
@@ -18,10 +18,10 @@
 
 from balancing.api import LINE_MS, NEWS_DUE_MS, QUEUE_WAIT_MS, ListChanged, ListKind, Server, State
 from balancing.balancer import widest_pause_ms
-from cometdoor.config import Address, read_address
-from cometdoor.listfile import write_list
-from cometdoor.sources import FIRST_ANSWER_S, Sources
-from cometdoor.watch import WatchConnection
+from proxy.config import Address, read_address
+from proxy.listfile import write_list
+from proxy.sources import FIRST_ANSWER_S, Sources
+from proxy.watch import WatchConnection
 
 log = logging.getLogger(__name__)
 
--- a/cometdoor/frontend.py
+++ b/proxy/frontend.py
@@ -17,10 +17,10 @@
 import httptools
 
 from balancing.api import Effect
-from cometdoor.config import Address, NodeConfig, method_of
-from cometdoor.flow import LONGEST, STALL_S, WHOLE, Budget, Inflow
-from cometdoor.lifecycle import LifeCycle
-from cometdoor.upstream import Descriptors, Source
+from proxy.config import Address, NodeConfig, method_of
+from proxy.flow import LONGEST, STALL_S, WHOLE, Budget, Inflow
+from proxy.lifecycle import LifeCycle
+from proxy.upstream import Descriptors, Source
 
 log = logging.getLogger(__name__)
 
--- a/cometdoor/handover.py
+++ b/proxy/handover.py
@@ -19,10 +19,11 @@
 
 import orjson
 
-from cometdoor.lifecycle import LifeCycle, Phase
+from proxy.lifecycle import LifeCycle, Phase
 
 log = logging.getLogger(__name__)
 
+# The prefix is the former name of the package: processes of both versions meet in the folder.
 PREFIX, MARK, STATE, PART = "cometdoor-", ".mark", ".state", ".part"
 LOOK_S = 0.05
 WAIT_S = 0.5  # the new process waits so long for what the old one knows
--- a/cometdoor/proxy.py
+++ b/proxy/proxy.py
@@ -17,10 +17,10 @@
 from balancing import Balancer, api
 from balancing.api import ListKind, Outcome, State
 from balancing.outdated import OutdatedList
-from cometdoor.config import Address, NodeConfig
-from cometdoor.discovery import Discovery, ListReader
-from cometdoor.flow import Budget
-from cometdoor.frontend import (
+from proxy.config import Address, NodeConfig
+from proxy.discovery import Discovery, ListReader
+from proxy.flow import Budget
+from proxy.frontend import (
     BUSY_PAUSE_MS,
     PER_HOP,
     ClientConnection,
@@ -28,9 +28,9 @@
     Headers,
     pause_headers,
 )
-from cometdoor.lifecycle import LifeCycle
-from cometdoor.listfile import read_list
-from cometdoor.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source, Start
+from proxy.lifecycle import LifeCycle
+from proxy.listfile import read_list
+from proxy.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source, Start
 
 log = logging.getLogger(__name__)
 
--- a/cometdoor/sources.py
+++ b/proxy/sources.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Sequence
 
-from cometdoor.config import Address
+from proxy.config import Address
 
 HOP_S = 0.2  # to the next address: what one lost machine sends away does not arrive at one moment
 FIRST_ANSWER_S = 1.5  # an address that is silent for so long from the call on is passed over
--- a/cometdoor/upstream.py
+++ b/proxy/upstream.py
@@ -18,8 +18,8 @@
 import httptools
 
 from balancing.api import Outcome
-from cometdoor.config import Address
-from cometdoor.flow import LONGEST, STALL_S, WHOLE, Budget, Inflow
+from proxy.config import Address
+from proxy.flow import LONGEST, STALL_S, WHOLE, Budget, Inflow
 
 MAX_HEAD = 64 * 1024
 MAX_FRAMING = 8  # bytes on the wire for each of the body's, where it comes in small chunks
--- a/cometdoor/watch.py
+++ b/proxy/watch.py
@@ -12,7 +12,7 @@
 import orjson
 
 from balancing.api import Server
-from cometdoor.config import Address
+from proxy.config import Address
 
 LONGEST_OBJECT = 8 << 20  # bytes: some 40,000 servers
 LIFE = "Mastlift-Life"  # names the history that revisions are of, where discovery says it
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,5 +22,5 @@
     while started:
         pid = started.pop()
         with contextlib.suppress(OSError):
-            if b"cometdoor" in Path(f"/proc/{pid}/cmdline").read_bytes():
+            if b"proxy" in Path(f"/proc/{pid}/cmdline").read_bytes().split(b"\0"):
                 os.kill(pid, signal.SIGKILL)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -15,12 +15,12 @@
 import uvloop
 
 from balancing import api
-from cometdoor.config import NodeConfig, read_config
-from cometdoor.flow import Budget
-from cometdoor.frontend import Frontend, RequestReader
-from cometdoor.lifecycle import LifeCycle
-from cometdoor.proxy import Proxy
-from cometdoor.upstream import Descriptors
+from proxy.config import NodeConfig, read_config
+from proxy.flow import Budget
+from proxy.frontend import Frontend, RequestReader
+from proxy.lifecycle import LifeCycle
+from proxy.proxy import Proxy
+from proxy.upstream import Descriptors
 from tests.test_simhost import INFO
 
 LANES = [{**INFO["lanes"][0], "name": "read"},  # type: ignore[index]
@@ -163,7 +163,7 @@
 
     @contextmanager
     def in_place(self) -> Iterator[Script]:
-        with mock.patch("cometdoor.proxy.Balancer", lambda settings, seed: self):
+        with mock.patch("proxy.proxy.Balancer", lambda settings, seed: self):
             yield self
 
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -12,7 +12,7 @@
 import pytest
 
 from balancing.api import Outcome
-from cometdoor.upstream import Connection
+from proxy.upstream import Connection
 from tests.rig import FakeServer, Rig, Script, first_of, first_to, member, run, scripted_proxy
 
 STALE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
@@ -41,7 +41,7 @@
 def test_what_lies_unread_on_a_resting_connection_ends_it_before_it_is_used(left: bytes | None) -> None:
     """A second answer, or the end, is in the machine's buffer while a request is about to be written."""
     async def test() -> None:
-        with mock.patch("cometdoor.upstream.REST_S", 0.0):
+        with mock.patch("proxy.upstream.REST_S", 0.0):
             async with scripted_proxy() as (backend, script, rig):
                 caller = await rig.caller()
                 caller.ask("pay")
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -11,8 +11,8 @@
 
 from balancing import api
 from balancing.api import Outcome
-from cometdoor import flow
-from cometdoor.flow import WHOLE, Budget
+from proxy import flow
+from proxy.flow import WHOLE, Budget
 from tests.rig import FakeServer, Rig, Script, first_to, member, run
 
 LONG = os.urandom(3_000_000)
@@ -226,7 +226,7 @@
 
 def test_a_caller_that_never_reads_on_is_let_go() -> None:
     async def test() -> None:
-        with mock.patch("cometdoor.frontend.STALL_S", 0.1):
+        with mock.patch("proxy.frontend.STALL_S", 0.1):
             backend = await FakeServer().start()
             rig = await Rig().start(member("s1", backend.address), group_size=1)
             caller = await rig.caller()
@@ -354,7 +354,7 @@
     async def test() -> None:
         backend = await FakeServer().start()
         rig = await Rig().start(member("s1", backend.address), group_size=1)
-        with mock.patch.multiple("cometdoor.frontend", READ_S=0.3, BODY_S=0.2, SLOWEST=10_000.0):
+        with mock.patch.multiple("proxy.frontend", READ_S=0.3, BODY_S=0.2, SLOWEST=10_000.0):
             slow, stopping = await rig.caller(), await rig.caller()
             head = (b"POST /pay/1 HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Qos: pay\r\nX-Expires-In: 3\r\n"
                     b"Content-Length: 10000\r\n\r\n")
@@ -484,7 +484,7 @@
 
 def test_a_refused_long_body_is_answered_at_once_and_read_to_its_end() -> None:
     async def test() -> None:
-        with Script().in_place() as script, mock.patch("cometdoor.frontend.LINGER_S", 0.15):
+        with Script().in_place() as script, mock.patch("proxy.frontend.LINGER_S", 0.15):
             script.react = lambda event: (
                 [api.Refuse(event.request)] if isinstance(event, api.RequestArrived) else [])
             rig = await Rig().start()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -14,8 +14,8 @@
 
 import pytest
 
-from cometdoor import __main__ as program
-from cometdoor.frontend import ClientConnection
+from proxy import __main__ as program
+from proxy.frontend import ClientConnection
 from tests.rig import Caller, FakeServer, Rig, first_call, make_config, member, run, scripted_proxy
 from tests.test_frontend import GOOD, head
 from tests.test_process import free_port, launch, until_serving
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,7 +9,6 @@
 import orjson
 import pytest
 
-from cometdoor import control
 from mastlift.configuration import core as a
 from mastlift.configuration.checks import check_content
 from mastlift.configuration.operations import ServiceStatus, Where, gather
@@ -28,6 +27,7 @@
 from mastlift.lab.fleet import SETTINGS
 from mastlift.lab.simdisk import SimDisk
 from mastlift.settings import BadSettings
+from proxy import control
 
 BASE = {"name": "p1", "listen": "127.0.0.1:7", "seed": 3, "known": {"revision": 1},
         "settings": {"position": 2, "zone": 1}}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,10 +13,10 @@
 
 import pytest
 
-from cometdoor import control
-from cometdoor.__main__ import Evacuation
-from cometdoor.control import Configuration, Door, operators_calls, settings_digest
-from cometdoor.lifecycle import LifeCycle, Phase
+from proxy import control
+from proxy.__main__ import Evacuation
+from proxy.control import Configuration, Door, operators_calls, settings_digest
+from proxy.lifecycle import LifeCycle, Phase
 from tests.rig import Caller, FakeServer, Message, Rig, make_config, member, run, started
 from tests.test_process import ROOT, free_port, until_serving
 
@@ -132,7 +132,7 @@
 
 def test_a_caller_without_a_whole_call_is_ended_in_time() -> None:
     async def test() -> None:
-        with mock.patch("cometdoor.control.CALL_S", 0.05):
+        with mock.patch("proxy.control.CALL_S", 0.05):
             door = await open_door(LifeCycle())
             reader, writer = await asyncio.open_connection(*door.address())
             writer.write(b"GET /api/re")
@@ -147,7 +147,7 @@
     async def test() -> None:
         backend = await FakeServer().start()
         rig = await Rig().start(member("s1", backend.address))
-        with mock.patch("cometdoor.__main__.FIRST_REQUEST_S", 0.2):
+        with mock.patch("proxy.__main__.FIRST_REQUEST_S", 0.2):
             Evacuation(asyncio.get_running_loop(), rig.front, rig.life)
             idle, busy, new = await rig.caller(), await rig.caller(), await rig.caller()
             idle.writer.write(UP)
@@ -179,7 +179,7 @@
 
 def test_without_control_there_is_no_door() -> None:
     config = make_config("127.0.0.1:1", "127.0.0.1:1")
-    from cometdoor.config import read_config
+    from proxy.config import read_config
     assert read_config(config, {}).control is None
     assert read_config(config, {"NODE_CONTROL": "127.0.0.1:7"}).control == ("127.0.0.1", 7)
     assert read_config({**config, "control": "127.0.0.1:8"}, {}).control == ("127.0.0.1", 8)
@@ -191,7 +191,7 @@
     path.write_text(json.dumps(config))
     environment = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "cometdoor", cwd=ROOT, stderr=asyncio.subprocess.PIPE, pass_fds=fds,
+        sys.executable, "-m", "proxy", cwd=ROOT, stderr=asyncio.subprocess.PIPE, pass_fds=fds,
         env={**environment, "NODE_CONFIG": str(path), **variables})
     started.append(process.pid)
     return process
@@ -207,7 +207,7 @@
                 process = await launch({**config, "control": control_at}, tmp_path)
                 _, errors = await process.communicate()
                 assert process.returncode in (1, 2)
-                assert errors.splitlines()[-1].startswith(b"cometdoor: ")
+                assert errors.splitlines()[-1].startswith(b"proxy: ")
                 assert b"Traceback" not in errors
 
     run(test)
@@ -225,7 +225,7 @@
         os.close(read_end)
         os.close(write_end)
         assert process.returncode == 2
-        assert errors.splitlines()[-1].startswith(b"cometdoor: bad configuration: NODE_INHERITED_FD")
+        assert errors.splitlines()[-1].startswith(b"proxy: bad configuration: NODE_INHERITED_FD")
         assert b"Traceback" not in errors
 
     run(test)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,9 +13,9 @@
 
 from balancing import api
 from balancing.api import ListKind, State
-from cometdoor.config import read_config
-from cometdoor.discovery import ListReader
-from cometdoor.listfile import read_list, write_list
+from proxy.config import read_config
+from proxy.discovery import ListReader
+from proxy.listfile import read_list, write_list
 from tests.rig import FakeServer, Rig, Script, make_config, member, run
 
 
@@ -107,7 +107,7 @@
 def test_after_a_move_the_watch_goes_on_at_the_new_address_without_a_failure(asked: bool) -> None:
     async def test() -> None:
         old, new = await FakeServer().start(), await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.discovery.MOVE_SPREAD_S", 0.02):
+        with Script().in_place() as script, mock.patch("proxy.discovery.MOVE_SPREAD_S", 0.02):
             if asked:
                 script.react = asks
             rig = await Rig().start(member("s1", "127.0.0.1:9"), discovery=old.address, asked=asked)
@@ -188,7 +188,7 @@
 
 def test_of_several_addresses_it_leaves_what_fails_is_silent_or_older_and_never_goes_back() -> None:
     async def test() -> None:
-        with Script().in_place() as script, mock.patch("cometdoor.discovery.FIRST_ANSWER_S", 0.2):
+        with Script().in_place() as script, mock.patch("proxy.discovery.FIRST_ANSWER_S", 0.2):
             script.react = lambda event: []
             fakes = [await FakeServer().start() for _ in range(3)]
             calls: asyncio.Queue[tuple[FakeServer, Any]] = asyncio.Queue()
@@ -259,8 +259,8 @@
     """SIGHUP between failures: 4 s from the signal, whatever else a failed call would allow."""
     async def test() -> None:
         old, new = await FakeServer().start(), await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.discovery.MOVE_SPREAD_S", 0.01), mock.patch(
-                "cometdoor.discovery.MOVE_DUE_S", 3.5):
+        with Script().in_place() as script, mock.patch("proxy.discovery.MOVE_SPREAD_S", 0.01), mock.patch(
+                "proxy.discovery.MOVE_DUE_S", 3.5):
             rig = await started(script, old, member("s1", "127.0.0.1:9"))
             script.react = lambda event: []
             call = await old.next()
@@ -292,8 +292,8 @@
     """The loop reads its clock once a turn, in whole milliseconds: opening and SIGHUP may share one reading."""
     async def test() -> None:
         old, new = await FakeServer().start(), await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.discovery.MOVE_SPREAD_S", 0.01), mock.patch(
-                "cometdoor.discovery.MOVE_DUE_S", 3.5):
+        with Script().in_place() as script, mock.patch("proxy.discovery.MOVE_SPREAD_S", 0.01), mock.patch(
+                "proxy.discovery.MOVE_DUE_S", 3.5):
             rig = await started(script, old, member("s1", "127.0.0.1:9"))
             script.react = lambda event: []
             call = await old.next()
--- a/tests/test_foreign.py
+++ b/tests/test_foreign.py
@@ -10,7 +10,7 @@
 import pytest
 
 from balancing import api
-from cometdoor.config import BadConfig, load_config
+from proxy.config import BadConfig, load_config
 from tests.rig import LANES, FakeServer, Rig, first_call, member, run, scripted_proxy
 from tests.test_retune import Running, base, new_lanes, setting, written
 
@@ -55,7 +55,7 @@
         with caplog.at_level("INFO"):
             caplog.clear()
             assert running.take(raw) is before
-        (line,) = [record for record in caplog.records if record.name.startswith("cometdoor")]
+        (line,) = [record for record in caplog.records if record.name.startswith("proxy")]
         key = str([step for step in path if isinstance(step, str)][-1])
         assert line.levelname == "ERROR" and key in line.getMessage()
         assert rig.proxy._config is before
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -9,8 +9,8 @@
 import pytest
 
 from balancing import api
-from cometdoor import frontend
-from cometdoor.upstream import Descriptors
+from proxy import frontend
+from proxy.upstream import Descriptors
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
 
 
@@ -206,7 +206,7 @@
 def test_a_caller_that_stops_in_the_middle_of_a_request_does_not_keep_its_connection() -> None:
     async def test() -> None:
         rig = await Rig().start()
-        with mock.patch("cometdoor.frontend.READ_S", 0.05):
+        with mock.patch("proxy.frontend.READ_S", 0.05):
             caller = await rig.caller()
             caller.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Trace")
             assert (await caller.answer()).status == 408
@@ -220,7 +220,7 @@
     """Recording ticket1412: silent peers held 140 descriptors, and servers could not be reached."""
     async def test() -> None:
         rig = await Rig().start()
-        with mock.patch("cometdoor.frontend.READ_S", 0.05):
+        with mock.patch("proxy.frontend.READ_S", 0.05):
             caller = await rig.caller()
             caller.writer.write(sent)
             assert await caller.ended()
@@ -236,7 +236,7 @@
 def test_a_caller_that_has_asked_once_may_rest() -> None:
     async def test() -> None:
         rig = await Rig().start()
-        with mock.patch("cometdoor.frontend.READ_S", 0.05):
+        with mock.patch("proxy.frontend.READ_S", 0.05):
             caller = await rig.caller()
             for _ in range(2):
                 caller.writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -322,7 +322,7 @@
 
 def test_one_that_stopped_in_its_head_makes_room_for_another() -> None:
     async def test() -> None:
-        with mock.patch("cometdoor.frontend.STUCK_S", 0.05):
+        with mock.patch("proxy.frontend.STUCK_S", 0.05):
             rig = await Rig().start(sockets=Descriptors.RESERVE + 2)
             stuck = await rig.caller()
             stuck.writer.write(b"GET /read/1 HTTP/1.1\r\nX-Trace")
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -11,8 +11,8 @@
 import pytest
 
 from balancing import api
-from cometdoor.frontend import LOOK_FOR_END_S, LOOK_FOR_RESET_S
-from cometdoor.upstream import Connection
+from proxy.frontend import LOOK_FOR_END_S, LOOK_FOR_RESET_S
+from proxy.upstream import Connection
 from tests.rig import Call, Caller, FakeServer, Rig, Script, first_call, first_to, member, run, scripted_proxy
 
 GONE_S = 0.1  # of the terms
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -18,12 +18,12 @@
 from balancing import api
 from balancing.api import Outcome, State
 from balancing.balancer import Balancer
-from cometdoor import handover
-from cometdoor.__main__ import Succession
-from cometdoor.handover import Handover
-from cometdoor.lifecycle import LifeCycle, Phase
-from cometdoor.proxy import Proxy
-from cometdoor.upstream import Descriptors
+from proxy import handover
+from proxy.__main__ import Succession
+from proxy.handover import Handover
+from proxy.lifecycle import LifeCycle, Phase
+from proxy.proxy import Proxy
+from proxy.upstream import Descriptors
 from tests.harness import SAFE, SETTINGS, Checker, servers
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, make_config, member, run
 from tests.test_control import call, launch
@@ -90,7 +90,7 @@
         (tmp_path / "cometdoor-12.mark").write_bytes(b"{}")
         (tmp_path / "cometdoor-x.mark").write_bytes(b"")
         (tmp_path / "other").write_bytes(b"")
-        with mock.patch("cometdoor.handover.WAIT_S", 3600.0):
+        with mock.patch("proxy.handover.WAIT_S", 3600.0):
             assert await process(tmp_path).ask() is None
 
     run(test)
@@ -106,7 +106,7 @@
                 "early": {"at": now + 60.0, "for": new.start}}.get(state)
         path = old._path(old.start, handover.STATE)
         path.write_text(state if text is None else json.dumps(text))
-        with mock.patch("cometdoor.handover.WAIT_S", 0.1):
+        with mock.patch("proxy.handover.WAIT_S", 0.1):
             assert await new.ask() is None
         path.write_text(json.dumps({"at": time.monotonic(), "for": new.start}))
         assert await new.ask() is not None
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -12,7 +12,7 @@
 
 from balancing import api
 from balancing.api import Outcome
-from cometdoor.upstream import Connection
+from proxy.upstream import Connection
 from tests.harness import KEYED, SAFE, SETTINGS, UNSAFE, Checker, servers
 from tests.rig import FakeServer, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_simhost import INFO
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -16,9 +16,9 @@
 import pytest
 
 from balancing import api
-from cometdoor.frontend import LINGERED_S, ClientConnection, ClientRequest
-from cometdoor.proxy import Attempt, LiveRequest
-from cometdoor.upstream import Connection
+from proxy.frontend import LINGERED_S, ClientConnection, ClientRequest
+from proxy.proxy import Attempt, LiveRequest
+from proxy.upstream import Connection
 from tests.rig import Caller, FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_gone import final, nothing_begins, noticed
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -43,9 +43,9 @@
 
 
 def test_a_proxy_loads_nothing_of_the_product() -> None:
-    for path in (*(ROOT / "cometdoor").glob("*.py"), *(ROOT / "balancing").glob("*.py")):
+    for path in (*(ROOT / "proxy").glob("*.py"), *(ROOT / "balancing").glob("*.py")):
         assert not any(name.split(".")[0] == "mastlift" for name in imports(path)), path
-    code = "import cometdoor.__main__, sys; print(*(m for m in sys.modules if m.split('.')[0] in " \
+    code = "import proxy.__main__, sys; print(*(m for m in sys.modules if m.split('.')[0] in " \
            "('mastlift', 'aiohttp', 'msgspec')))"
     assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT,
                           check=True).stdout.strip() == ""
@@ -60,3 +60,11 @@
     done = subprocess.run([sys.executable, "-m", program], input="", capture_output=True, text=True, cwd=ROOT)
     assert done.returncode == subprocess.run([sys.executable, "-m", f"{now}.simhost"], input="", capture_output=True,
                                              text=True, cwd=ROOT).returncode
+
+
+def test_the_former_command_of_the_proxy_still_works_and_warns() -> None:
+    former, now = (subprocess.run([sys.executable, "-m", program], capture_output=True, text=True, cwd=ROOT, env={})
+                   for program in ("cometdoor", "proxy"))
+    assert "python -m cometdoor is now python -m proxy" in former.stderr
+    assert former.stderr.splitlines()[-1] == now.stderr.splitlines()[-1]
+    assert former.returncode == now.returncode == 2
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -21,11 +21,11 @@
 from balancing import api
 from balancing.api import ListKind
 from balancing.balancer import Balancer
-from cometdoor.discovery import ListReader
-from cometdoor.upstream import Connection
-from cometdoor.watch import Objects
 from mastlift.lab.emulator import ended_watches
 from mastlift.lab.emulator.lists import GRACE_S, NEWS_DUE_S, SETTINGS, World
+from proxy.discovery import ListReader
+from proxy.upstream import Connection
+from proxy.watch import Objects
 from tests.rig import FakeServer, Rig, member, run
 
 BOTH = pytest.mark.parametrize("asked", [True, False])
@@ -333,7 +333,7 @@
         rig = await Rig().start(member("s1", backend.address), discovery=discovery.address)
         call = await discovery.next()
         call.open_stream()
-        with caplog.at_level("INFO", "cometdoor.discovery"):
+        with caplog.at_level("INFO", "proxy.discovery"):
             call.chunk(spoilt)
             again = await discovery.next()
         assert b"index=41" in again.message.start
--- a/tests/test_outdated_list.py
+++ b/tests/test_outdated_list.py
@@ -12,10 +12,10 @@
 from balancing import api
 from balancing.api import ListKind, Outcome, State
 from balancing.outdated import LONGEST_WAIT_MS, OutdatedList
-from cometdoor.proxy import LAST_START
-from cometdoor.upstream import Connection
 from mastlift.lab.emulator import outdated_list
 from mastlift.lab.emulator.lists import ENDED_DUE_S, World
+from proxy.proxy import LAST_START
+from proxy.upstream import Connection
 from tests.harness import SETTINGS, Checker, servers
 from tests.rig import Call, FakeServer, Rig, member, run
 
@@ -197,7 +197,7 @@
                 await up.wait()
             await connect(connection)
 
-        with mock.patch.object(Connection, "_connect", late), mock.patch("cometdoor.discovery.ENDED_DUE_S", due_s):
+        with mock.patch.object(Connection, "_connect", late), mock.patch("proxy.discovery.ENDED_DUE_S", due_s):
             rig = await Rig().start(*members, discovery=discovery.address, asked=True,
                                     limits={"connect_timeout_ms": 3000.0})
             watch = await discovery.next()
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from cometdoor import frontend
-from cometdoor.upstream import Descriptors
+from proxy import frontend
+from proxy.upstream import Descriptors
 from tests.rig import Caller, FakeServer, Rig, make_config, member, run
 from tests.test_frontend import head
 from tests.test_process import free_port, launch, until_serving
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -30,7 +30,7 @@
         path.write_text(config)
         environment["NODE_CONFIG"] = str(path)
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "cometdoor", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE)
+        sys.executable, "-m", "proxy", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE)
     started.append(process.pid)
     return process
 
@@ -56,7 +56,7 @@
         process = await launch(BROKEN[name], tmp_path)
         _, errors = await process.communicate()
         assert process.returncode == 2
-        assert errors.startswith(b"cometdoor: bad configuration: ")
+        assert errors.startswith(b"proxy: bad configuration: ")
         assert errors.count(b"\n") == 1
 
     run(test)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -139,7 +139,7 @@
 def test_the_client_is_answered_before_its_time_is_up_while_the_module_is_silent() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.proxy.MARGIN_MS", 300.0):
+        with Script().in_place() as script, mock.patch("proxy.proxy.MARGIN_MS", 300.0):
             script.react = lambda event: (
                 [api.Send(event.request, "s1")] if isinstance(event, api.RequestArrived) else [])
             rig = await Rig().start(member("s1", backend.address))
@@ -222,7 +222,7 @@
             rig = await Rig().start(member("s1", backend.address))
             script.react = first_to("s1")
             caller = await rig.caller()
-            with caplog.at_level("INFO", "cometdoor.proxy"):
+            with caplog.at_level("INFO", "proxy.proxy"):
                 caller.ask(trace="aaaabbbbccccdddd")
                 (await backend.next()).reply(500)
                 assert (await caller.answer()).status == 502
@@ -234,12 +234,12 @@
 
 def test_a_flood_of_unserved_requests_does_not_flood_the_log(caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
-        with Script().in_place() as script, mock.patch("cometdoor.proxy.LOG_SPAN_MS", 3_600_000.0):
+        with Script().in_place() as script, mock.patch("proxy.proxy.LOG_SPAN_MS", 3_600_000.0):
             rig = await Rig().start()
             script.react = lambda event: (
                 [api.Refuse(event.request)] if isinstance(event, api.RequestArrived) else [])
             caller = await rig.caller()
-            with caplog.at_level("INFO", "cometdoor.proxy"):
+            with caplog.at_level("INFO", "proxy.proxy"):
                 for _ in range(20):
                     caller.ask()
                     assert (await caller.answer()).status == 503
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -15,9 +15,9 @@
 
 from balancing import api
 from balancing.api import Effect, Outcome
-from cometdoor.__main__ import Reload
-from cometdoor.config import BadConfig, NodeConfig, load_config
-from cometdoor.frontend import RequestReader
+from proxy.__main__ import Reload
+from proxy.config import BadConfig, NodeConfig, load_config
+from proxy.frontend import RequestReader
 from tests.harness import KEYED, SAFE, SETTINGS, UNSAFE, Checker, servers
 from tests.rig import LANES, FakeServer, Rig, Script, first_to, make_config, member, run
 
@@ -175,7 +175,7 @@
             assert (await late.answer()).body == b"new"
             held.reply(200, b"held")
             assert (await early.answer()).body == b"held"
-            with mock.patch("cometdoor.frontend.FORMER_S", 0.0):
+            with mock.patch("proxy.frontend.FORMER_S", 0.0):
                 rig.front.reader = RequestReader(config)
             late.ask("book")
             assert (await late.answer()).status == 404  # dropped, and no client says it any more
@@ -197,7 +197,7 @@
             assert config.settings.classes[arrival.class_index].effect is Effect.UNSAFE
             (await backend.next()).reply(200, b"ok")
             assert (await caller.answer()).status == 200
-            with mock.patch("cometdoor.frontend.FORMER_S", 0.0):
+            with mock.patch("proxy.frontend.FORMER_S", 0.0):
                 rig.front.reader = RequestReader(config)
             caller.ask("read")
             assert (await caller.answer()).status == 405
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,8 +12,8 @@
 
 from balancing import api
 from balancing.api import Outcome
-from cometdoor.flow import Budget
-from cometdoor.upstream import Answer, Descriptors, Exchange, Pool
+from proxy.flow import Budget
+from proxy.upstream import Answer, Descriptors, Exchange, Pool
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
 
 NEVER_RAN = "X-Never-Ran: 1"
@@ -175,7 +175,7 @@
     run(test)
 
 
-@mock.patch("cometdoor.upstream.REST_S", 0.0)
+@mock.patch("proxy.upstream.REST_S", 0.0)
 def test_a_stale_connection_that_breaks_is_an_outcome_and_nothing_is_sent_again() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
@@ -197,7 +197,7 @@
     run(test)
 
 
-@mock.patch("cometdoor.upstream.REST_S", 0.0)
+@mock.patch("proxy.upstream.REST_S", 0.0)
 def test_the_most_recently_used_connection_is_taken() -> None:
     async def test() -> None:
         backend = await FakeServer().start()
@@ -349,7 +349,7 @@
     """Recording ticket1412: idle callers held most descriptors, and requests found no way to a server."""
     async def test() -> None:
         backend = await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.frontend.REST_S", rest_s):
+        with Script().in_place() as script, mock.patch("proxy.frontend.REST_S", rest_s):
             script.react = first_to("s1")
             rig = await Rig().start(member("s1", backend.address), sockets=Descriptors.RESERVE + 2)
             resting, asking = await rig.caller(), await rig.caller()
@@ -368,7 +368,7 @@
     """Ended before it is read, a first request has failed for good."""
     async def test() -> None:
         backend = await FakeServer().start()
-        with Script().in_place() as script, mock.patch("cometdoor.frontend.REST_S", 3600.0):
+        with Script().in_place() as script, mock.patch("proxy.frontend.REST_S", 3600.0):
             script.react = first_to("s1")
             rig = await Rig().start(member("s1", backend.address), sockets=Descriptors.RESERVE + 2)
             new, asking = await rig.caller(), await rig.caller()
