Give the simulated watch of the list service the ends that the client asks for

Seen: five tests of tests/test_lists.py failed in a run of all tests: SimWatch lacked was_closed. Cause: the client asks each ended watch since requests are held; the simulated one sets its fields itself. Shown: the five pass. No proxy code changed.

--- a/mastlift/lab/listsim.py
+++ b/mastlift/lab/listsim.py
@@ -94,6 +94,7 @@
         self._heard_at, self._patience_s, self._silence_s = owner.loop.time(), patience_s, silence_s
         self._objects = Objects()
         self.opened_at, self._silent, self.is_answered, self.is_told = self._heard_at, False, False, False
+        self.was_closed = self.was_refused = False  # the simulated network only cuts
         self._last, self._cut = 0.0, False
         self._silence = owner.loop.call_later(patience_s, self._check_silence)
 
