Widen the pauses between calls for a list once three in a row have waited in vain

Followed by each call's log line: discovery is back at 11.0 and answers 44 calls a second; the wait of those calls grows from 0.03 to 1.99 s by 12.5; of all calls made after that, none is answered until the end (1,490 refused after exactly 2.000 s, 997 at once from 18 s on), though 176 proxies without a list make no more than about 50 a second. Cause: calls refused after their wait are worked through all the same, so a queue of over 2 s answers nobody as long as calls come as fast as it works; our pauses (0 to 1.9 s) keep it so. Change: balancing/congestion.py (policy): after three waits in vain the next pause is drawn from 4 s, so that a call in vain as discovery returns, the pause and an answer at once still fit into the 6 s. Refusals at once widen nothing.

--- a/balancing/balancer.py
+++ b/balancing/balancer.py
@@ -17,6 +17,7 @@
 
 from balancing import api
 from balancing.api import QUEUE_WAIT_MS, Effect, ListKind, Outcome, Scope, State
+from balancing.congestion import ListCongestion
 from balancing.outdated import OutdatedList
 
 MAX_BACKUP_RATIO = 0.05  # backups among the legs of the window; copies are held from here on
@@ -503,6 +504,7 @@
         self._yields = False  # another has taken this one's place
         self._watch_failures = 0  # in a row
         self._asked_at = -math.inf
+        self._congestion = ListCongestion()
         self._outdated = OutdatedList()
         self._actions: list[api.Action] = []
 
@@ -620,6 +622,10 @@
         failed = event.kind is ListKind.FAILED
         self._outdated.update(event, now)
         self._watch_failures = self._watch_failures + 1 if failed else 0
+        if failed:
+            self._congestion.failed(now)
+        elif event.kind is not ListKind.CACHED:
+            self._congestion.answered()
         if self._settings.must_ask and not self._watch_due and (failed or event.kind is ListKind.CACHED):
             # Growing pauses spare a slow discovery; half of the time to ask within is never exceeded.
             growth = 2.0 ** min(self._watch_failures, MOST_DOUBLINGS)
@@ -630,6 +636,7 @@
             spacing = min(FIRST_RETRY_MS * growth, LONGEST_RETRY_MS)
             least = max(spacing - (now - self._asked_at), 0.0)
             widest = min(widest, max(widest_pause_ms(event.due_ms), least))
+            widest = max(widest, self._congestion.widest_pause_ms())
             self._watch_due = self._set_timer(None, self._random.uniform(0.0, widest))
         if failed:
             return
@@ -1063,6 +1070,7 @@
             if token == self._watch_due:  # one that another took the place of means nothing
                 self._watch_due = 0
                 self._asked_at = now
+                self._congestion.asked(now)
                 self._actions.append(api.Watch())
             return
         request = self._requests.get(request_id)
--- a/mastlift/lab/emulator/outdated_list.py
+++ b/mastlift/lab/emulator/outdated_list.py
@@ -64,6 +64,7 @@
     plays: int = 0
     plays_with_late_sends: int = 0
     late_sends: int = 0
+    late_after_close: int = 0  # of these, by proxies whose watch was closed in place of reporting
     sends: int = 0
     refusals: int = 0
 
@@ -71,11 +72,13 @@
         self.plays += 1
         self.plays_with_late_sends += bool(world.late)
         self.late_sends += len(world.late)
+        self.late_after_close += sum(number in world.closed for number, _, _ in world.late)
         self.sends += world.sends
         self.refusals += world.refusals
 
     def __str__(self) -> str:
-        return (f"late sends {self.late_sends} in {self.plays_with_late_sends} of {self.plays} plays, "
+        return (f"late sends {self.late_sends} ({self.late_after_close} after a close) in "
+                f"{self.plays_with_late_sends} of {self.plays} plays, "
                 f"refused {self.refusals} of {self.sends + self.refusals}")
 
 
