--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -16,7 +16,7 @@
 from proxy.config import read_config
 from proxy.discovery import ListReader
 from proxy.listfile import read_list, write_list
-from tests.rig import FakeServer, Rig, Script, make_config, member, run
+from tests.rig import Call, FakeServer, Rig, Script, make_config, member, run
 
 
 def asks(event: api.Event) -> list[api.Action]:
@@ -255,18 +255,23 @@
     run(test)
 
 
+async def watching(script: Script, discovery: FakeServer) -> tuple[Rig, Call]:
+    """A proxy whose watch has told its list, at revision 43; the decisions do nothing from here on."""
+    rig = await started(script, discovery, member("s1", "127.0.0.1:9"))
+    script.react = lambda event: []
+    call = await discovery.next()
+    call.open_stream()
+    call.send_list(43, True, member("s1", "127.0.0.1:9"))
+    await script.until(api.ListChanged)
+    return rig, call
+
+
 def test_after_a_move_news_is_due_by_the_signal_also_when_the_first_call_fails_and_the_old_watch_speaks() -> None:
     """SIGHUP between failures: 4 s from the signal, whatever else a failed call would allow."""
     async def test() -> None:
         old, new = await FakeServer().start(), await FakeServer().start()
-        with Script().in_place() as script, mock.patch("proxy.discovery.MOVE_SPREAD_S", 0.01), mock.patch(
-                "proxy.discovery.MOVE_DUE_S", 3.5):
-            rig = await started(script, old, member("s1", "127.0.0.1:9"))
-            script.react = lambda event: []
-            call = await old.next()
-            call.open_stream()
-            call.send_list(43, True, member("s1", "127.0.0.1:9"))
-            await script.until(api.ListChanged)
+        with Script().in_place() as script, mock.patch.multiple("proxy.discovery", MOVE_SPREAD_S=0.01, MOVE_DUE_S=3.5):
+            rig, call = await watching(script, old)
             rig.proxy.reconfigure(read_config(make_config("127.0.0.1:1", new.address, discovery_mode="subscribe"), {}))
             call.send_list(44, False, member("s1", "127.0.0.1:9"))
             await script.until(api.ListChanged)
@@ -292,14 +297,8 @@
     """The loop reads its clock once a turn, in whole milliseconds: opening and SIGHUP may share one reading."""
     async def test() -> None:
         old, new = await FakeServer().start(), await FakeServer().start()
-        with Script().in_place() as script, mock.patch("proxy.discovery.MOVE_SPREAD_S", 0.01), mock.patch(
-                "proxy.discovery.MOVE_DUE_S", 3.5):
-            rig = await started(script, old, member("s1", "127.0.0.1:9"))
-            script.react = lambda event: []
-            call = await old.next()
-            call.open_stream()
-            call.send_list(43, True, member("s1", "127.0.0.1:9"))
-            await script.until(api.ListChanged)
+        with Script().in_place() as script, mock.patch.multiple("proxy.discovery", MOVE_SPREAD_S=0.01, MOVE_DUE_S=3.5):
+            rig, call = await watching(script, old)
             watch = rig.proxy._discovery._watch
             assert watch is not None
             with mock.patch.object(watch, "opened_at", math.inf):  # no reading of the clock tells it from a new one
