Send all that waited for the list behind the entry, whatever is out there

Seen on reading: requests held for a list are let through by the entry's limit, which later tiers do not have; with 60 calls out all 20 that waited were left to be refused. Cause: Admission.next asks for room in any tier. Change: only the entry asks. The new test fails without it.

--- a/balancing/balancer.py
+++ b/balancing/balancer.py
@@ -287,7 +287,7 @@
         if not self.waiting[standing]:
             del self.waiting[standing]
 
-    def next(self, now: float) -> Request | None:
+    def next(self, now: float, is_limited: bool = True) -> Request | None:
         """The newest of those that can earn most of their worth: it has the best chance to be in time.
 
         By the worth itself a class that is worth less is starved as long as there are others, and the
@@ -296,7 +296,7 @@
         if not self.waiting:
             return None
         request = next(reversed(self.waiting[max(self.waiting)].values()))
-        if not self.has_room(request, now):
+        if is_limited and not self.has_room(request, now):
             return None
         self.release(request)
         return request
@@ -534,7 +534,8 @@
                 self._take_over(event.learned)
             case api.Yielded():
                 self._yields = event.on
-        while not self._outdated.holds_sends(now) and (waiting := self._admission.next(now)):
+        is_limited = not self._settings.tier  # behind the entry requests wait for the list alone
+        while not self._outdated.holds_sends(now) and (waiting := self._admission.next(now, is_limited)):
             self._start(waiting, now)
         return self._actions
 
--- a/tests/test_outdated_list.py
+++ b/tests/test_outdated_list.py
@@ -108,6 +108,17 @@
     assert checker.balancer._admission.out == 0 and not checker.balancer._admission.waiting
 
 
+def test_behind_the_entry_all_that_waited_for_the_list_are_sent_whatever_is_out() -> None:
+    """Later tiers limit nothing: what the entry has let through would be refused for want of room."""
+    checker = started(tier=1)
+    for number in range(60):
+        checker.request(f"out{number}", UNSAFE)
+    checker.feed(outdated(0.0))
+    names = [f"waits{number}" for number in range(20)]
+    assert not any(sent(checker.request(name, UNSAFE)) for name in names)
+    assert {send.request for send in sent(checker.feed(drained("s0", "s1")))} == set(names)
+
+
 def test_servers_that_are_known_are_used_again_where_no_list_comes() -> None:
     checker = started()
     checker.feed(outdated(0.0))
