Test processes that can't be ended and a keeper whose log nobody reads

Need: the report of processes out of reach was shown by no test, and the log that can't block only for duty hold.

--- a/mastlift/duty/guarded.py
+++ b/mastlift/duty/guarded.py
@@ -139,14 +139,14 @@
         there, orphans are found below it."""
         if self.pid:
             signal_group(self.pid, signal.SIGKILL)
-        left = await _end_below(self._process.pid)
+        left = await end_below(self._process.pid)
         guard.send_signal(self._process.pid, signal.SIGKILL)
         if self._owns_orphans:
-            left += await _end_below(os.getpid())
+            left += await end_below(os.getpid())
         self.out_of_reach += tuple(left)
 
 
-async def _end_below(parent: int) -> list[int]:
+async def end_below(parent: int) -> list[int]:
     """SIGKILL to all below a process; those that still run after `guard.END_WITHIN_S`. One that loses its parent while
     the tree is read can be missed, so it is read until nobody was found twice in a row."""
     until = guard.now_ms() + 1000.0 * guard.END_WITHIN_S
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -11,13 +11,14 @@
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
+from unittest import mock
 
 import pytest
 
 from mastlift.duty import guard
 from mastlift.duty.clock import RATE_MARGIN, HolderClock
 from mastlift.duty.command import BACKUP_BEFORE_MS, KILL_BEFORE_MS, deadlines_of
-from mastlift.duty.guarded import Deadlines, GuardedCommand, NotStartedError
+from mastlift.duty.guarded import Deadlines, GuardedCommand, NotStartedError, end_below
 from mastlift.duty.holder import Seen, all_duties, is_held, put_while_held, send_to
 from mastlift.keeper.client import KeeperClient
 from mastlift.lab.duties import ACTOR, Resource, holder, resource
@@ -138,6 +139,22 @@
     run(test)
 
 
+def test_who_does_not_die_is_reported_and_not_waited_for_without_end() -> None:
+    """As a process of another user, or one that waits for a disk: signals that reach nobody stand for it."""
+    async def test() -> None:
+        command = await guarded("exec sleep 60")
+        child = os.posix_spawn("/bin/sleep", ["sleep", "60"], {})
+        with mock.patch.multiple(guard, send_signal=lambda *_, **__: None, END_WITHIN_S=0.1):
+            assert await end_below(command.guard_pid) == [command.pid]
+            with mock.patch.object(guard, "descendants", lambda _: [child]):
+                assert guard.end_all(child) == (None, [child])
+        os.kill(child, signal.SIGKILL)
+        command.set_deadlines(deadlines(0.0, 0.0))
+        await command.close(guard.now_ms() + SLACK_MS)
+        os.waitpid(child, 0)
+    run(test)
+
+
 def test_a_guard_s_deadline_is_within_the_lease_s_arithmetic() -> None:
     holder_clock = HolderClock(2_000.0)
     holder_clock.renewed(1_000.0)
@@ -243,15 +260,21 @@
     run(test)
 
 
+def full_pipe() -> tuple[int, int]:
+    """Its reading and its writing end; who writes waits."""
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    with suppress(BlockingIOError):
+        while True:
+            os.write(writing, b"x" * 4096)
+    os.set_blocking(writing, True)
+    return reading, writing
+
+
 def test_a_log_that_nobody_reads_stops_neither_renewals_nor_the_end_of_a_command(tmp_path: Path) -> None:
     async def test() -> None:
         listen = free_address()
-        reading, writing = os.pipe()
-        os.set_blocking(writing, False)
-        with suppress(BlockingIOError):
-            while True:
-                os.write(writing, b"x" * 4096)
-        os.set_blocking(writing, True)
+        reading, writing = full_pipe()
         async with keeper(keeper_settings(tmp_path, listen)), resource() as res:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "mastlift", "duty", "hold", "d", "--ttl", "1", "--keepers", listen, "--",
@@ -275,6 +298,27 @@
     run(test)
 
 
+def test_a_keeper_s_log_that_nobody_reads_stops_no_call(tmp_path: Path) -> None:
+    async def test() -> None:
+        listen = free_address()
+        reading, writing = full_pipe()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "mastlift", "keeper", "run", "--log", "json", "--config",
+            str(keeper_settings(tmp_path, listen)), cwd=ROOT, stderr=writing)
+        try:
+            async with KeeperClient([listen]) as client:
+                for number in range(20):
+                    await client.put(f"key{number}", b"value")
+            process.terminate()
+            assert await process.wait() == 0
+        finally:
+            with suppress(ProcessLookupError):
+                process.kill()
+            os.close(reading)
+            os.close(writing)
+    run(test)
+
+
 STARVED = """
 import asyncio, sys, time
 from mastlift.duty.command import hold
