Log each call for the list, each stop of sends and why a request is refused; add /metrics

Each call has a number, an address and a line at its end with its outcome and time; a stop of sends and its end are lines with the list's age; refusals and failures carry a reason from the decisions; the admin endpoint serves counters and the age of the list at /metrics.

--- a/balancing/api.py
+++ b/balancing/api.py
@@ -287,12 +287,25 @@
     attempt: int
 
 
+class Unserved(Enum):
+    """Why a request is refused or failed."""
+
+    NO_ROOM = "no room at the entry"
+    OUTDATED_LIST = "the endpoint list may be outdated"
+    NO_SERVER = "no server may take it"
+    NO_ATTEMPT_LEFT = "no further attempt is allowed"
+    OUT_OF_TIME = "out of time"
+    FAULT = "a fault in the decisions"
+    OVERLOAD = "too many requests are open"
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: nothing has run, trying again is harmless."""
 
     request: str
     retry_after_ms: float = 0.0
+    reason: Unserved = field(default=Unserved.NO_ATTEMPT_LEFT, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -300,6 +313,7 @@
     """Final answer that promises nothing."""
 
     request: str
+    reason: Unserved = field(default=Unserved.NO_ATTEMPT_LEFT, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/balancing/balancer.py
+++ b/balancing/balancer.py
@@ -16,7 +16,7 @@
 from zlib import crc32
 
 from balancing import api
-from balancing.api import QUEUE_WAIT_MS, Effect, ListKind, Outcome, Scope, State
+from balancing.api import QUEUE_WAIT_MS, Effect, ListKind, Outcome, Scope, State, Unserved
 from balancing.congestion import ListCongestion
 from balancing.outdated import OutdatedList
 
@@ -342,7 +342,7 @@
 
 class Request:
     __slots__ = ("arrived_at", "attempts", "cls", "coming", "copied_at", "counted", "gives_up_at", "gone",
-                 "held", "id", "max_attempts", "open", "record", "streaming", "timer", "worth")
+                 "held", "id", "lacks_list", "max_attempts", "open", "record", "streaming", "timer", "worth")
 
     def __init__(self, event: api.RequestArrived, cls: api.RequestClass, record: ClassRecord,
                  max_attempts: int, worth: float, now: float) -> None:
@@ -353,6 +353,7 @@
         self.worth = worth
         self.arrived_at = now
         self.held = False  # waits at the entry for room
+        self.lacks_list = False  # and in fact for a new endpoint list
         self.counted = False  # among those that are out at the entry
         self.coming = event.is_coming  # its body is not all in: its time has yet to begin
         self.gone = False  # bytes of it have left that are not kept: no further attempt
@@ -936,6 +937,7 @@
         request.timer = self._set_timer(request.id, longest_ms)
 
     def _hold_for_list(self, request: Request, now: float) -> None:
+        request.lacks_list = True
         left_ms = request.cls.aim_ms if request.coming else request.gives_up_at - now
         self._hold(request, left_ms / 2)
 
@@ -1010,12 +1012,13 @@
             self._outstanding += 1
             self._count_send(member, now)
             limit_ms = 0.0 if request.coming else request.gives_up_at - now
+            request.lacks_list = False
             self._actions.append(api.Send(request.id, member.name, limit_ms, starts_until - now))
         elif not request.outstanding():
-            self._give_up(request)
+            self._give_up(request, Unserved.NO_SERVER if may_send else Unserved.NO_ATTEMPT_LEFT)
         return member is not None
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, request: Request, reason: Unserved) -> None:
         """A refusal invites the client's retry, so it is said wherever rule 2 allows, and at once.
 
         Guards against retries into the same crowd: the client is told to come back after as long as it may
@@ -1024,8 +1027,8 @@
         cls = request.cls
         harmless = request.may_have_run() is None or cls.effect is Effect.SAFE or (
             cls.effect is Effect.KEYED and cls.dedup_scope is Scope.ALL)
-        refusal = api.Refuse(request.id, retry_after_ms=HOLD_SHARE * cls.aim_ms)
-        self._actions.append(refusal if harmless else api.Fail(request.id))
+        refusal = api.Refuse(request.id, retry_after_ms=HOLD_SHARE * cls.aim_ms, reason=reason)
+        self._actions.append(refusal if harmless else api.Fail(request.id, reason))
         self._close(request.id)
 
     def _close(self, request_id: str) -> None:
@@ -1078,7 +1081,7 @@
         if request is None or not request.open or request.timer != token:
             return
         if request.held:
-            self._give_up(request)
+            self._give_up(request, Unserved.OUTDATED_LIST if request.lacks_list else Unserved.NO_ROOM)
             return
         for attempt in request.attempts:
             if not attempt.ended:
--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -20,6 +20,7 @@
 from proxy.frontend import Frontend, RequestReader
 from proxy.handover import Handover
 from proxy.lifecycle import LifeCycle, Phase
+from proxy.metrics import ProxyMetrics
 from proxy.proxy import Proxy
 from proxy.upstream import Descriptors
 
@@ -148,7 +149,8 @@
     loop = asyncio.get_running_loop()
     life = LifeCycle()
     shown = Configuration.of(config.raw)
-    door = Door(loop, operators_calls(life, shown))
+    metrics = ProxyMetrics()
+    door = Door(loop, operators_calls(life, shown, metrics))
     if config.control:
         await door.listen(*config.control)
     handover, told = None, None
@@ -159,7 +161,7 @@
         told = await handover.ask()
     descriptors = Descriptors(config.sockets, control.DESCRIPTORS if config.control else 0)
     budget = Budget(config.memory_mb)
-    proxy = Proxy(config, loop, descriptors, budget, life, told)
+    proxy = Proxy(config, loop, descriptors, budget, life, told, metrics)
     front = Frontend(loop, RequestReader(config), descriptors, budget, proxy, life)
     reload = Reload(config, proxy, front, shown)
     loop.add_signal_handler(signal.SIGHUP, reload)
--- a/proxy/control.py
+++ b/proxy/control.py
@@ -18,6 +18,7 @@
 
 from proxy.config import Address
 from proxy.lifecycle import LifeCycle
+from proxy.metrics import ProxyMetrics
 
 MAX_OPEN = 8
 DESCRIPTORS = MAX_OPEN + 3  # set aside: the listener, and connections that are just closing
@@ -65,7 +66,8 @@
                              "reloads": self.reloads, "refused": self.refused}).decode()
 
 
-def operators_calls(life: LifeCycle, configuration: Configuration | None = None) -> dict[bytes, Call]:
+def operators_calls(life: LifeCycle, configuration: Configuration | None = None,
+                    metrics: ProxyMetrics | None = None) -> dict[bytes, Call]:
     def ready() -> tuple[int, str]:
         return (200 if life.takes_clients() else 503), life.phase.value
 
@@ -81,6 +83,8 @@
              b"/api/rejoin": Call(b"POST", order(life.rejoin))}
     if configuration is not None:
         calls[b"/api/configuration"] = Call(b"GET", lambda: (200, configuration.text()))
+    if metrics is not None:
+        calls[b"/metrics"] = Call(b"GET", lambda: (200, metrics.text()))
     return calls
 
 
--- a/proxy/discovery.py
+++ b/proxy/discovery.py
@@ -20,6 +20,7 @@
 from balancing.balancer import widest_pause_ms
 from proxy.config import Address, read_address
 from proxy.listfile import write_list
+from proxy.metrics import ProxyMetrics
 from proxy.sources import FIRST_ANSWER_S, Sources
 from proxy.watch import WatchConnection
 
@@ -101,8 +102,13 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, addresses: Sequence[Address], reader: ListReader,
                  must_ask: bool, known: dict[str, Any], deliver: Callable[[ListChanged, dict[str, Address]], None],
-                 list_file: Path | None = None) -> None:
+                 list_file: Path | None = None, metrics: ProxyMetrics | None = None) -> None:
         self.loop = loop
+        self._metrics = metrics or ProxyMetrics()
+        self._metrics.list_revision.read = lambda: self._revision
+        self._metrics.list_age.read = lambda: self.loop.time() - self._list_current_at()
+        self._current_at = loop.time()  # when a watch that has ended last showed the list to be current, or the start
+        self._calls = 0  # made so far
         self.reader = reader
         self._sources = Sources(addresses, random.Random())
         self._must_ask = must_ask
@@ -139,7 +145,10 @@
         target, name = f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}"
         patience_s, silence_s = ((FIRST_ANSWER_S, SEVERAL_SILENCE_S) if self._sources.several
                                  else (self._first_line_s, SILENCE_S))
+        self._calls += 1
+        log.info("discovery: call %d to %s from revision %d", self._calls, name, self._revision)
         self._watch = WatchConnection(self, target, name, patience_s, silence_s, self._life)
+        self._watch.number = self._calls
         self._watch.open((host, port))
 
     def has_unread(self) -> bool:
@@ -217,18 +226,29 @@
             self._life = self._watch.life
             if not self._watch.is_told:
                 self._watch.is_told = True
-                log.info("discovery: at revision %d, %.2f s after the call", self._revision,
-                         self.loop.time() - self._watch.opened_at)
+                log.info("discovery: at revision %d, %.2f s after the call, number %d", self._revision,
+                         self.loop.time() - self._watch.opened_at, self._watch.number)
         if self._list_file is not None and self._keeping is None:
             self._keeping = self.loop.call_later(KEEP_EVERY_S, self._keep)
         kind = ListKind.FULL if message.get("complete") else ListKind.DELTA
         self._deliver(ListChanged(kind, tuple(servers), outdated_in_ms=self.outdated_in_ms()), addresses)
 
+    def _list_current_at(self) -> float:
+        """When the list in use was last seen to be current, on the loop's clock."""
+        return self._watch.heard_at if self._watch is not None and self._watch.is_told else self._current_at
+
+    def call_ended(self, watch: WatchConnection, reason: str) -> None:
+        """Log and count the end of a call, whatever ended it."""
+        if watch.is_told:
+            self._current_at = watch.heard_at
+        self._metrics.discovery_calls.add(watch.outcome())
+        log.info("discovery: call %d is over after %.2f s, %s: %s", watch.number, self.loop.time() - watch.opened_at,
+                 watch.outcome(), reason)
+
     def ended(self, watch: WatchConnection, reason: str) -> None:
         if watch is not self._watch:
             return
         self._watch = None
-        log.info("discovery: %s", reason)
         if watch.is_answered:
             self._ended_due = self.loop.time() + ENDED_DUE_S
             if watch.was_closed:
@@ -255,7 +275,7 @@
         if self._sources.several:
             watch.end("silent")
             return
-        log.info("discovery: silent for %.2f s", silent_s)
+        log.info("discovery: call %d is silent for %.2f s", watch.number, silent_s)
         now = self.loop.time()
         if not watch.is_answered and now > self._news_due:
             self._first_line_s = LONGEST_FIRST_LINE_S
@@ -303,7 +323,7 @@
     def heard_again(self, watch: WatchConnection) -> None:
         if watch is not self._watch:
             return
-        log.info("discovery: heard again")
+        log.info("discovery: call %d is heard again", watch.number)
         self._is_told()
         if self._must_ask:
             self._deliver(ListChanged(ListKind.ALIVE), {})
--- /dev/null
+++ b/proxy/metrics.py
@@ -0,0 +1,62 @@
+"""Counters of one proxy process, served by the admin endpoint in the Prometheus text exposition format 0.0.4."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+
+@dataclass
+class Counter:
+    """A count that only grows, split by the values of one label."""
+
+    name: str
+    help: str
+    label: str
+    values: dict[str, int] = field(default_factory=dict)
+
+    def add(self, value: str) -> None:
+        """One more, of this value of the label."""
+        self.values[value] = self.values.get(value, 0) + 1
+
+    def lines(self) -> list[str]:
+        """As exposition lines. The label's values are the program's own words and need no escapes."""
+        samples = [f'{self.name}{{{self.label}="{value}"}} {count}' for value, count in sorted(self.values.items())]
+        return [f"# HELP {self.name} {self.help}", f"# TYPE {self.name} counter", *samples]
+
+
+@dataclass
+class Gauge:
+    """A value that is read when somebody asks for it."""
+
+    name: str
+    help: str
+    read: Callable[[], float] = lambda: 0.0
+
+    def lines(self) -> list[str]:
+        """As exposition lines."""
+        return [f"# HELP {self.name} {self.help}", f"# TYPE {self.name} gauge", f"{self.name} {self.read():g}"]
+
+
+class ProxyMetrics:
+    """What staff on call ask a proxy first: is its endpoint list fresh, does it send, and why it refuses."""
+
+    def __init__(self) -> None:
+        self.discovery_calls = Counter(
+            "mastlift_proxy_discovery_calls_total", "Calls for the endpoint list, by how they ended.", "outcome")
+        self.attempts = Counter("mastlift_proxy_attempts_total", "Attempts at servers, by outcome.", "outcome")
+        self.unserved = Counter(
+            "mastlift_proxy_unserved_requests_total", "Requests refused or failed, by reason.", "reason")
+        self.send_stops = Counter(
+            "mastlift_proxy_send_stops_total", "Times that sends stopped or went on for want of a current list.",
+            "change")
+        self.list_age = Gauge(
+            "mastlift_proxy_list_age_seconds", "Time since discovery last showed that the list is current.")
+        self.list_revision = Gauge("mastlift_proxy_list_revision", "Revision of the endpoint list in use.")
+        self.sends_stopped = Gauge("mastlift_proxy_sends_stopped", "1 while no attempt begins for want of a list.")
+
+    def text(self) -> str:
+        """All of them, for a scrape."""
+        parts = (self.discovery_calls, self.attempts, self.unserved, self.send_stops, self.list_age,
+                 self.list_revision, self.sends_stopped)
+        return "\n".join(line for part in parts for line in part.lines())
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -30,6 +30,7 @@
 )
 from proxy.lifecycle import LifeCycle
 from proxy.listfile import read_list
+from proxy.metrics import ProxyMetrics
 from proxy.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source, Start
 
 log = logging.getLogger(__name__)
@@ -100,7 +101,7 @@
         self._since = -LOG_SPAN_MS
         self._lines = self._left_out = 0
 
-    def write(self, request: LiveRequest, status: int) -> None:
+    def write(self, request: LiveRequest, status: int, reason: api.Unserved) -> None:
         now = now_ms()
         if now - self._since >= LOG_SPAN_MS:
             if self._left_out:
@@ -114,8 +115,8 @@
         attempts = ", ".join(
             f"{attempt.server} {attempt.outcome}, sent {now - attempt.sent_at:.0f} ms ago"
             for attempt in request.attempts)
-        log.info("%s class %d answered %d after %.0f ms of %.0f: %s", message.trace_id, message.class_index,
-                 status, now - message.arrived_at * 1000.0, message.left_ms, attempts or "never sent")
+        log.info("%s class %d answered %d after %.0f ms of %.0f, %s: %s", message.trace_id, message.class_index,
+                 status, now - message.arrived_at * 1000.0, message.left_ms, reason.value, attempts or "never sent")
 
 
 class Timer:
@@ -146,9 +147,11 @@
 
 class Proxy:
     def __init__(self, config: NodeConfig, loop: asyncio.AbstractEventLoop, descriptors: Descriptors,
-                 budget: Budget, life: LifeCycle, told: dict[str, Any] | None = None) -> None:
+                 budget: Budget, life: LifeCycle, told: dict[str, Any] | None = None,
+                 metrics: ProxyMetrics | None = None) -> None:
         """`told`: what the process knows whose place this one takes."""
         self._life = life
+        self._metrics = metrics or ProxyMetrics()
         self._config = config
         self._loop = loop
         self._balancer = Balancer(config.settings, config.seed)
@@ -159,6 +162,8 @@
         self._started_at: dict[str, float] = {}
         self._ready: set[str] = set()
         self._outdated = OutdatedList()
+        self._sends_stopped = False  # as the log and the metrics say
+        self._metrics.sends_stopped.read = lambda: float(self._outdated.holds_sends(now_ms()))
         self._list_read_at = now_ms()  # no news of servers lay unread then
         self._held: list[Attempt] = []  # until such news is read
         self._last_id = 0
@@ -169,7 +174,8 @@
         told = told if told is not None and self._can_use(told, reader) else None
         known = told["list"] if told is not None else self._known(reader)
         self._discovery = Discovery(
-            loop, config.discovery, reader, config.settings.must_ask, known, self._list_changed, config.list_file)
+            loop, config.discovery, reader, config.settings.must_ask, known, self._list_changed, config.list_file,
+            self._metrics)
         servers, addresses = reader.read(known)
         self._list_changed(api.ListChanged(ListKind.CACHED, tuple(servers)), addresses)
         if told is not None:
@@ -256,7 +262,19 @@
         finally:
             self._handling = False
 
+    def _note_send_stop(self) -> None:
+        """Log and count that attempts stop, or go on, for want of a current list."""
+        stopped = self._outdated.holds_sends(now_ms())
+        if stopped is self._sends_stopped:
+            return
+        self._sends_stopped = stopped
+        self._metrics.send_stops.add("stopped" if stopped else "went on")
+        log.warning("%s: the endpoint list was last seen to be current %.2f s ago, revision %.0f",
+                    "no attempt begins" if stopped else "attempts begin again", self._metrics.list_age.read(),
+                    self._metrics.list_revision.read())
+
     def _handle(self, event: api.Event) -> None:
+        self._note_send_stop()
         try:
             actions = self._balancer.handle(event, now_ms())
         except Exception:
@@ -320,6 +338,7 @@
 
     def take(self, connection: ClientConnection, message: ClientRequest) -> None:
         if len(self._by_client) >= self._config.max_open:
+            self._metrics.unserved.add(api.Unserved.OVERLOAD.value)
             connection.answer(503, pause_headers(self._config, BUSY_PAUSE_MS), b"")
             return
         self._last_id += 1
@@ -389,7 +408,7 @@
     def _out_of_time(self, request: LiveRequest) -> None:
         """Guards against a request that the module is silent about: its client gets an answer in time."""
         if request.client is not None and request.owner is None:
-            self._answer(request, 502, [], b"")
+            self._answer(request, 502, [], b"", api.Unserved.OUT_OF_TIME)
             self._dispatch(api.ClientGone(request.id))
             self._clean_up(request)
 
@@ -411,7 +430,7 @@
         request = self._requests.get(request_id)
         if request is None:
             return
-        self._answer(request, 502, [], b"")
+        self._answer(request, 502, [], b"", api.Unserved.FAULT)
         for attempt in request.attempts:
             if attempt is not request.owner:
                 self._end_attempt(attempt, Outcome.CANCELLED)
@@ -429,9 +448,9 @@
                         and request.attempts[action.attempt] is not request.owner):
                     self._end_attempt(request.attempts[action.attempt], Outcome.CANCELLED)
             case api.Refuse():
-                self._final(action.request, 503, pause_headers(self._config, action.retry_after_ms))
+                self._final(action.request, 503, pause_headers(self._config, action.retry_after_ms), action.reason)
             case api.Fail():
-                self._final(action.request, 502, [])
+                self._final(action.request, 502, [], action.reason)
             case api.SetTimer():
                 token = action.token
                 Timer(self._loop, now_ms() + action.after_ms, lambda: self._dispatch(api.TimerFired(token)))
@@ -440,20 +459,23 @@
             case api.Watch():
                 self._discovery.watch()
 
-    def _final(self, request_id: str, status: int, headers: Headers) -> None:
+    def _final(self, request_id: str, status: int, headers: Headers, reason: api.Unserved) -> None:
         request = self._requests.get(request_id)
         if request is not None:
-            self._answer(request, status, headers, b"")
+            self._answer(request, status, headers, b"", reason)
             self._clean_up(request)
 
-    def _answer(self, request: LiveRequest, status: int, headers: Headers, body: bytes) -> None:
+    def _answer(self, request: LiveRequest, status: int, headers: Headers, body: bytes,
+                reason: api.Unserved | None = None) -> None:
+        """`reason`: why it is not served; None where it is."""
         if request.owner is not None:
             return  # its answer is on its way
         client = self._leave_client(request)
         self._end_unbegun(request)
         if client is not None:
-            if status != 200:
-                self._unserved.write(request, status)
+            if reason is not None:
+                self._metrics.unserved.add(reason.value)
+                self._unserved.write(request, status, reason)
             client.answer(status, headers, body)
 
     def _send(self, action: api.Send) -> None:
@@ -580,6 +602,7 @@
         request = attempt.request
         attempt.ended = True
         attempt.outcome = outcome.value
+        self._metrics.attempts.add(outcome.value)
         if attempt.timer is not None:
             attempt.timer.cancel()
             attempt.timer = None  # it holds the attempt in turn
--- a/proxy/watch.py
+++ b/proxy/watch.py
@@ -86,8 +86,12 @@
 
     def ended(self, watch: WatchConnection, reason: str) -> None: ...
 
+    def call_ended(self, watch: WatchConnection, reason: str) -> None: ...
+
 
 class WatchConnection(asyncio.Protocol):
+    number = 0  # names the call in the log
+
     def __init__(self, owner: Owner, target: str, host: str, patience_s: float, silence_s: float,
                  life: str = "") -> None:
         """`life`: of the history that the index in the target is of. Silence is told after `patience_s` until the first
@@ -109,6 +113,11 @@
         self._heard_at = self.opened_at = owner.loop.time()
         self._silence = owner.loop.call_later(patience_s, self._check_silence)
 
+    @property
+    def heard_at(self) -> float:
+        """When bytes last came, or the call was made; on the loop's clock, in seconds."""
+        return self._heard_at
+
     @property
     def was_connected(self) -> bool:
         return self._transport is not None
@@ -186,6 +195,14 @@
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    def outcome(self) -> str:
+        """How the call went, as the log and the metrics name it."""
+        if self.is_answered:
+            return "answered"
+        if self.was_refused:
+            return "refused"
+        return "unanswered" if self.was_connected else "not connected"
+
     def _heard(self) -> None:
         self._heard_at = self._owner.loop.time()
         self._patience_s = self._silence_s
@@ -214,5 +231,6 @@
             self._transport.abort()
         elif self._opening is not None:
             self._opening.cancel()
+        self._owner.call_ended(self, reason)
         if tell:
             self._owner.ended(self, reason)
