Go on waiting for the list while discovery is seen at work, not for a fixed 4 s

Cause: sends stopped while the list may lack a drain, and went on 4 s later whatever discovery did (LONGEST_WAIT_MS): elapsed time was taken for knowledge. Discovery was at work all the time, its queue full: it refused each call after 0.02 s, and the list came 8 to 9 s after the drain.

A refusal at once now shows discovery at work for 6.5 s (widest pause, the next call's wait), and sends stay stopped meanwhile, 30 s at most. Where nothing shows it at work (refusals only after the wait, no answers) it is 4 s as before, and at once where no connection comes up.

--- a/proxy/discovery.py
+++ b/proxy/discovery.py
@@ -12,12 +12,14 @@
 import random
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 from zlib import crc32
 
 from balancing.api import LINE_MS, NEWS_DUE_MS, QUEUE_WAIT_MS, ListChanged, ListKind, Server, State
 from balancing.balancer import widest_pause_ms
+from balancing.freshness import ListFreshness
 from proxy.config import Address, read_address
 from proxy.listfile import write_list
 from proxy.metrics import ProxyMetrics
@@ -122,10 +124,7 @@
         self._first_line_s = FIRST_LINE_S
         self._news_due = loop.time() + NEWS_DUE_S  # when what is missed counts as told
         self._ended_due = math.inf  # when what an ended watch may have left out counts as told
-        # When what a lost watch may have missed counts as known: one that was closed, though discovery goes on, or one
-        # that fell silent. That it goes on shows in a refusal.
-        self._closed_due = self._silent_due = math.inf
-        self._is_reachable = False  # it has refused a call since a watch was lost
+        self._freshness = ListFreshness()
         self._outdated_watch: WatchConnection | None = None  # still open at the address from before a move
         self._moving: asyncio.TimerHandle | None = None  # the next call, where it is not the module's to order
         self._list_file = list_file
@@ -167,8 +166,7 @@
         log.info("discovery moves to %s:%d", *self._sources.current)
         self._pause_s = FIRST_PAUSE_S
         self._outdated_watch = self._watch
-        self._silent_due = min(self._silent_due, self.loop.time() + MOVE_DUE_S)
-        self._is_reachable = False  # what another address refused tells nothing of the new one
+        self._freshness.moved(self._now_ms(), 1000.0 * MOVE_DUE_S)
         self._news_due = min(self._news_due, self.loop.time() + MOVE_DUE_S)
         self._stop_moving()
         self._moving = self.loop.call_later(random.uniform(0.0, MOVE_SPREAD_S), self.watch)
@@ -231,7 +229,7 @@
         if self._list_file is not None and self._keeping is None:
             self._keeping = self.loop.call_later(KEEP_EVERY_S, self._keep)
         kind = ListKind.FULL if message.get("complete") else ListKind.DELTA
-        self._deliver(ListChanged(kind, tuple(servers), outdated_in_ms=self.outdated_in_ms()), addresses)
+        self._deliver(self.with_freshness(ListChanged(kind, tuple(servers))), addresses)
 
     def _list_current_at(self) -> float:
         """When the list in use was last seen to be current, on the loop's clock."""
@@ -252,12 +250,11 @@
         if watch.is_answered:
             self._ended_due = self.loop.time() + ENDED_DUE_S
             if watch.was_closed:
-                self._closed_due = min(self._closed_due, self._ended_due)
-        elif not watch.was_connected:
-            self._ended_due = math.inf  # discovery can't be reached: nothing counts as told before it can
-            self._is_reachable = False
-        elif watch.was_refused:
-            self._is_reachable = True
+                self._freshness.watch_closed(self._now_ms())
+        else:
+            if not watch.was_connected:
+                self._ended_due = math.inf  # discovery can't be reached: nothing counts as told before it can
+            self._freshness.call_failed(watch.failure(), 1000.0 * watch.opened_at, self._now_ms())
         if self._sources.several and (soon := self._sources.failed()) is not None:
             self._moving = self.loop.call_later(soon, self.watch)
             return
@@ -281,9 +278,9 @@
             self._first_line_s = LONGEST_FIRST_LINE_S
         if watch.is_answered:
             self._news_due = min(self._news_due, now - silent_s + NEWS_DUE_S)
-            self._silent_due = min(self._silent_due, now - silent_s + NEWS_DUE_S)
-        elif not watch.was_connected:
-            self._is_reachable = False
+            self._freshness.watch_fell_silent(1000.0 * (now - silent_s))
+        else:
+            self._freshness.call_failed(watch.failure(), 1000.0 * watch.opened_at, self._now_ms())
         due_ms = 1000.0 * self._due_in_s()
         if self._must_ask:
             self._deliver_failure(due_ms)
@@ -291,18 +288,22 @@
         self._call_after(random.uniform(0.0, widest_pause_ms(due_ms)) / 1000.0)
 
     def _deliver_failure(self, due_ms: float) -> None:
-        outdated_in_ms = self.outdated_in_ms()
-        if outdated_in_ms < math.inf:
-            log.info("discovery: the list may be outdated in %.2f s", outdated_in_ms / 1000.0)
-        self._deliver(ListChanged(ListKind.FAILED, due_ms=due_ms, outdated_in_ms=outdated_in_ms), {})
-
-    def outdated_in_ms(self) -> float:
-        """Until a change that the list may lack counts as known; negative where that is past, infinite where nothing is
-        missed or discovery is not seen to be reachable. With several addresses another one is called in place of the
-        one that refused."""
-        if self._sources.several or not self._is_reachable:
-            return math.inf
-        return 1000.0 * (min(self._closed_due, self._silent_due) - self.loop.time())
+        event = self.with_freshness(ListChanged(ListKind.FAILED, due_ms=due_ms))
+        if event.outdated_in_ms < math.inf:
+            log.info("discovery: the list may be outdated in %.2f s", event.outdated_in_ms / 1000.0)
+        self._deliver(event, {})
+
+    def _now_ms(self) -> float:
+        return 1000.0 * self.loop.time()
+
+    def with_freshness(self, event: ListChanged) -> ListChanged:
+        """The event with what is known of the list's freshness. With several addresses another one is called in place
+        of the one that refused, and nothing is said."""
+        if self._sources.several:
+            return event
+        now = self._now_ms()
+        return replace(event, outdated_in_ms=self._freshness.outdated_in_ms(now),
+                       at_work_ms=self._freshness.at_work_ms(now))
 
     def _due_in_s(self) -> float:
         """After a failure. What is overdue can't be told in time any more: what comes from now on can."""
@@ -315,10 +316,9 @@
     def _is_told(self) -> None:
         """Nothing is missed, unless the watch is one at the address from before a move."""
         self._ended_due = math.inf
-        self._closed_due = math.inf
         if self._watch is not None and self._watch is not self._outdated_watch:
-            self._news_due = self._silent_due = math.inf
-            self._is_reachable = False
+            self._news_due = math.inf
+            self._freshness.current()
 
     def heard_again(self, watch: WatchConnection) -> None:
         if watch is not self._watch:
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -242,8 +242,8 @@
             reader = self._discovery.reader
             reader.renumber(config.zones, config.kinds)
             servers, addresses = reader.read(self._discovery.whole_list())
-            self._list_changed(api.ListChanged(ListKind.FULL, tuple(servers),
-                                               outdated_in_ms=self._discovery.outdated_in_ms()), addresses)
+            event = api.ListChanged(ListKind.FULL, tuple(servers))
+            self._list_changed(self._discovery.with_freshness(event), addresses)
         self._discovery.change(config.settings.must_ask)
 
     def owes_answers(self) -> bool:
--- a/proxy/watch.py
+++ b/proxy/watch.py
@@ -12,6 +12,7 @@
 import orjson
 
 from balancing.api import Server
+from balancing.freshness import CallFailure
 from proxy.config import Address
 
 LONGEST_OBJECT = 8 << 20  # bytes: some 40,000 servers
@@ -195,13 +196,15 @@
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    def failure(self) -> CallFailure:
+        """How the call failed, where no line has come."""
+        if self.was_refused:
+            return CallFailure.REFUSED
+        return CallFailure.UNANSWERED if self.was_connected else CallFailure.UNREACHABLE
+
     def outcome(self) -> str:
         """How the call went, as the log and the metrics name it."""
-        if self.is_answered:
-            return "answered"
-        if self.was_refused:
-            return "refused"
-        return "unanswered" if self.was_connected else "not connected"
+        return "answered" if self.is_answered else self.failure().value
 
     def _heard(self) -> None:
         self._heard_at = self._owner.loop.time()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -28,7 +28,7 @@
     async def test() -> None:
         caplog.set_level("INFO")
         discovery, backend = await FakeServer().start(), await FakeServer().start()
-        with mock.patch("proxy.discovery.ENDED_DUE_S", 0.0):
+        with mock.patch("balancing.freshness.CLOSED_DUE_MS", 0.0):
             rig = await Rig().start(member("s1", backend.address), discovery=discovery.address, asked=True)
             watch = await discovery.next()
             watch.open_stream()
--- a/tests/test_outdated_list.py
+++ b/tests/test_outdated_list.py
@@ -11,7 +11,7 @@
 
 from balancing import api
 from balancing.api import ListKind, Outcome, State
-from balancing.outdated import LONGEST_WAIT_MS, OutdatedList
+from balancing.outdated import LONGEST_WAIT_MS, UNSEEN_WAIT_MS, OutdatedList
 from mastlift.lab.emulator import outdated_list
 from mastlift.lab.emulator.lists import ENDED_DUE_S, World
 from proxy.proxy import LAST_START
@@ -119,13 +119,32 @@
     assert {send.request for send in sent(checker.feed(drained("s0", "s1")))} == set(names)
 
 
-def test_servers_that_are_known_are_used_again_where_no_list_comes() -> None:
+def test_servers_that_are_known_are_used_again_where_no_list_comes_and_nothing_shows_discovery_at_work() -> None:
     checker = started()
     checker.feed(outdated(0.0))
-    checker.advance(LONGEST_WAIT_MS)
+    checker.advance(UNSEEN_WAIT_MS)
     assert sent(checker.request("r"))
 
 
+def test_nothing_is_sent_while_discovery_is_seen_at_work_and_has_sent_no_list() -> None:
+    """Sends used to go on after 4 s, whatever discovery did."""
+    checker = started()
+    for number in range(10):
+        checker.feed(replace(outdated(-1_000.0 * number), at_work_ms=1_500.0))
+        assert not sent(checker.request(f"r{number}", left_ms=500.0))
+        checker.advance(1_000.0)
+    checker.advance(400.0)
+    assert not sent(checker.request("last", left_ms=500.0))
+    assert sent(checker.feed(drained("s0")))
+
+
+def test_a_discovery_that_refuses_for_very_long_stops_sends_no_longer() -> None:
+    outdated_list = OutdatedList()
+    for now in range(0, 100_000, 1_000):
+        outdated_list.update(replace(outdated(-float(now)), at_work_ms=5_000.0), float(now))
+        assert outdated_list.holds_sends(float(now)) is (now < LONGEST_WAIT_MS)
+
+
 @pytest.mark.parametrize("event", [
     api.ListChanged(ListKind.ALIVE), api.ListChanged(ListKind.FAILED, due_ms=100.0), drained("s0"),
     api.ListChanged(ListKind.DELTA)])
@@ -140,8 +159,8 @@
     outdated_list = OutdatedList()
     assert not outdated_list.holds_sends(1e9)
     outdated_list.update(outdated(100.0), 1_000.0)
-    for now, holds in ((1_099.9, False), (1_100.0, True), (1_099.9 + LONGEST_WAIT_MS, True),
-                       (1_100.0 + LONGEST_WAIT_MS, False)):
+    for now, holds in ((1_099.9, False), (1_100.0, True), (1_099.9 + UNSEEN_WAIT_MS, True),
+                       (1_100.0 + UNSEEN_WAIT_MS, False)):
         assert outdated_list.holds_sends(now) is holds
     assert not outdated_list.holds_sends(1_299.9, grace_ms=200.0)
     assert outdated_list.holds_sends(1_300.0, grace_ms=200.0)
@@ -181,18 +200,37 @@
     assert world.refusals == 0
 
 
-def test_a_discovery_that_closes_all_watches_and_then_only_refuses_stops_requests_for_a_while_once() -> None:
+@pytest.mark.parametrize(("answers", "longest_ms"), [("503", LONGEST_WAIT_MS), ("503 after the wait", UNSEEN_WAIT_MS)])
+def test_a_discovery_that_closes_all_watches_and_then_only_refuses_stops_requests_for_a_while_once(
+        answers: str, longest_ms: float) -> None:
+    """Refusals at once show it at work, with a full queue; those after the wait may as well be an outage."""
     world = World(17, 30, asked=True, all_call_s=3.7)
     world.run(20.0)
     world.clients_come()
     world.run(1.0)
     world.end_watches(1.0, "s2")
-    world.is_down, world.down_answers = True, "503"
-    world.run(ENDED_DUE_S + LONGEST_WAIT_MS / 1000.0 + 3.5)  # what waited last is answered
-    refusals = world.refusals
+    world.is_down, world.down_answers = True, answers
+    world.run(ENDED_DUE_S + longest_ms / 1000.0 + 3.5)  # what waited last is answered
+    refusals, sends = world.refusals, world.sends
     assert refusals > 0
     world.run(20.0)
     assert world.refusals == refusals
+    assert world.sends > sends
+
+
+def test_no_request_goes_to_a_draining_server_while_discovery_refuses_every_call_for_twenty_seconds() -> None:
+    world = World(17, 30, asked=True, all_call_s=3.7)
+    world.run(20.0)
+    world.clients_come()
+    world.run(1.0)
+    world.end_watches(1.0, "s2")
+    world.service_s = 60.0  # each call would wait for too long
+    world.run(20.0)
+    world.service_s = 0.1
+    world.run(10.0)
+    assert world.late == []
+    assert world.refusals > 0
+    assert all(proxy.told for proxy in world.proxies)
 
 
 # --- over sockets ---
@@ -217,7 +255,8 @@
                 await up.wait()
             await connect(connection)
 
-        with mock.patch.object(Connection, "_connect", late), mock.patch("proxy.discovery.ENDED_DUE_S", due_s):
+        with mock.patch.object(Connection, "_connect", late), mock.patch(
+                "balancing.freshness.CLOSED_DUE_MS", 1000.0 * due_s):
             rig = await Rig().start(*members, discovery=discovery.address, asked=True,
                                     limits={"connect_timeout_ms": 3000.0})
             watch = await discovery.next()
