Keep the watch and a waiting call over a move until the next call has told a list

Cause: each move ended the watch as soon as the next call was made, though the former address tells on for 1.5 s, and gave up a call that stood in discovery's queue, which is worked at all the same.

The watch now goes on until the call has told a list, a call that waits is left in the queue and called anew after its end, and a former address that closes what it had hides nothing. What the watch told meanwhile is not undone by an older answer.

The test that the former watch ends with the new call stated the fault; it now asks that its news is taken, that an older answer undoes nothing, and that it ends with the new list.

--- a/mastlift/lab/capacity/hollow.py
+++ b/mastlift/lab/capacity/hollow.py
@@ -31,6 +31,7 @@
 from mastlift.lab.fleet import SETTINGS
 from proxy.config import Address, read_addresses
 from proxy.discovery import STATES, Discovery, ListReader
+from proxy.watch import WatchConnection
 
 ENTER_AT_ONCE = 200  # coroutines of one process that register at the same moment
 DUTIES_AT_ONCE = 20
@@ -167,8 +168,9 @@
         self.listed: set[str] = set()
         self.has_list = False
 
-    def changed(self, message: dict[str, Any], servers: list[Server], addresses: dict[str, Address]) -> None:
-        super().changed(message, servers, addresses)
+    def changed(self, watch: WatchConnection, message: dict[str, Any], servers: list[Server],
+                addresses: dict[str, Address]) -> None:
+        super().changed(watch, message, servers, addresses)
         self._recorder.delivered(self._service, self._revision, self._number)
         here = {member["id"] for member in message["members"] if STATES[member["phase"]] is State.READY}
         off = (self.listed - here if message["complete"]
--- a/mastlift/lab/emulator/lists.py
+++ b/mastlift/lab/emulator/lists.py
@@ -23,6 +23,8 @@
 
 START_S = 1000.0
 GRACE_S, NEWS_DUE_S, LINE_S = 0.25, 6.0, 2.0  # of the terms, and not taken from the program
+MOVE_DUE_S = 4.0  # from a move: what discovery has to tell counts as told then
+FORMER_ADDRESS_S = 1.5  # a former address keeps its open connections so long
 ENDED_DUE_S = 2.0  # from a watch's end: what it left out counts as told then
 REFUSAL_S = 0.02  # until the answer to a call that is refused at once, there and back
 BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
@@ -82,6 +84,7 @@
 
     def __init__(self, world: World, protocol: Any) -> None:
         self.world, self.protocol = world, protocol
+        self.host, self.port = protocol._owner._sources.current
         self.index = 0
         self.came = 0.0
         self.silent = self.closed = self.watching = False
@@ -89,7 +92,7 @@
     @property
     def number(self) -> int:
         """The proxy that calls."""
-        return int(self.protocol._owner._sources.current[1]) - 1
+        return int(self.port) - 1
 
     def write(self, head: bytes) -> None:
         self.index = int(head.split(b"index=")[1].split()[0])
@@ -194,6 +197,23 @@
 
     # --- what happens ---
 
+    def move(self, number: int) -> None:
+        """A new configuration for one proxy: discovery is at another address, and the former one takes no new calls and
+        soon closes the connections that it has."""
+        discovery = self.proxies[number].discovery
+        host, port = discovery._sources.current
+        former = [wire for wire in self.wires if wire.number == number and not wire.closed]
+        discovery.move([(f"127.0.0.{int(host.rpartition('.')[2]) + 1}", port)])
+        self.loop.call_later(FORMER_ADDRESS_S, self._close, former)
+        for name in self.changes:
+            if self.proxies[number].told.get(name) is None:
+                self._count(self.proxies[number], name, self.loop.now + MOVE_DUE_S)
+
+    def _close(self, wires: list[Wire]) -> None:
+        for wire in wires:
+            if not wire.closed and not wire.silent:
+                wire.protocol.eof_received()
+
     def restart(self, share: float) -> list[Proxy]:
         """So many of the proxies are new processes, all at once."""
         chosen = self.random.sample(self.addresses, round(share * len(self.proxies)))
--- a/mastlift/lab/emulator/outdated_list.py
+++ b/mastlift/lab/emulator/outdated_list.py
@@ -16,6 +16,8 @@
 SETTLED_S = 30.0  # until all proxies have a watch
 DRAINED = "s2"
 AFTERWARDS_S = 14.0
+MOVES_S = (0.0, 0.3, 0.7, 1.6)
+MOVES_STAGGER_S = 0.21  # from one proxy to the next
 
 
 def _closed_with_a_full_queue(world: World) -> None:
@@ -38,6 +40,15 @@
     world.change(DRAINED)
 
 
+def _moved_in_a_row(world: World) -> None:
+    """Each proxy gets four new configurations, one proxy a little after the other; a server drains meanwhile."""
+    for proxy in world.proxies:
+        for after_s in MOVES_S:
+            world.loop.call_later(proxy.number * MOVES_STAGGER_S + after_s, world.move, proxy.number)
+    world.run(2.17)
+    world.change(DRAINED)
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """`all_call_s`: how long discovery takes for a call of each proxy, one after another. `refuses_at_once`: a call for
@@ -54,7 +65,9 @@
 CLOSED_MANY = Scenario("closed, queue full", 60, 6.5, _closed_with_a_full_queue)
 OUTAGE = Scenario("closed after an outage", 60, 6.5, _closed_after_an_outage, refuses_at_once=False)
 SILENT = Scenario("silent, discovery slow", 17, 8.2, _silent_before_a_slow_discovery)
-SCENARIOS = (CLOSED, CLOSED_MANY, OUTAGE, SILENT)
+MOVED = Scenario("moved in a row", 17, 6.5, _moved_in_a_row)
+MOVED_MANY = Scenario("moved in a row, many", 60, 6.5, _moved_in_a_row)
+SCENARIOS = (CLOSED, CLOSED_MANY, OUTAGE, SILENT, MOVED, MOVED_MANY)
 
 
 @dataclass(slots=True)
@@ -67,6 +80,7 @@
     late_after_close: int = 0  # of these, by proxies whose watch was closed in place of reporting
     sends: int = 0
     refusals: int = 0
+    calls: int = 0  # for the list
 
     def add(self, world: World) -> None:
         self.plays += 1
@@ -75,11 +89,12 @@
         self.late_after_close += sum(number in world.closed for number, _, _ in world.late)
         self.sends += world.sends
         self.refusals += world.refusals
+        self.calls += len(world.calls)
 
     def __str__(self) -> str:
         return (f"late sends {self.late_sends} ({self.late_after_close} after a close) in "
                 f"{self.plays_with_late_sends} of {self.plays} plays, "
-                f"refused {self.refusals} of {self.sends + self.refusals}")
+                f"refused {self.refusals} of {self.sends + self.refusals}, {self.calls} calls for the list")
 
 
 def play(scenario: Scenario, seed: int) -> World:
--- a/proxy/discovery.py
+++ b/proxy/discovery.py
@@ -119,14 +119,15 @@
         self._strange = 0  # answers of another life that were not taken
         self._members = {member["id"]: member for member in known.get("members") or ()}
         self._deliver = deliver
-        self._watch: WatchConnection | None = None
+        self._watch: WatchConnection | None = None  # the one that has told the list in use
+        self._call: WatchConnection | None = None  # has yet to tell one; it then takes the watch's place
         self._pause_s = FIRST_PAUSE_S
         self._first_line_s = FIRST_LINE_S
         self._news_due = loop.time() + NEWS_DUE_S  # when what is missed counts as told
         self._ended_due = math.inf  # when what an ended watch may have left out counts as told
         self._freshness = ListFreshness()
-        self._outdated_watch: WatchConnection | None = None  # still open at the address from before a move
         self._moving: asyncio.TimerHandle | None = None  # the next call, where it is not the module's to order
+        self._call_again = False  # once the call at a former address has ended, at the one of now
         self._list_file = list_file
         self._keeping: asyncio.TimerHandle | None = None
 
@@ -135,24 +136,31 @@
             self.watch()
 
     def watch(self) -> None:
-        """A new call; it takes the place of the one before."""
+        """Call anew. A call that stands in discovery's queue is left there, since it is worked at all the same, and
+        a watch tells on until the call has told a list; silent ones are ended."""
         self._stop_moving()
-        if self._watch is not None:
-            self._watch.end("replaced", tell=False)
-        self._outdated_watch = None
+        if self._call is not None and not self._call.is_silent:
+            self._call_again = self._call.left_at < math.inf
+            return
+        for former in (self._call, self._watch):
+            if former is not None and former.is_silent:
+                former.end("replaced", tell=False)
+        if self._watch is not None and self._watch.is_silent:
+            self._watch = None
+        self._call_again = False
         host, port = self._sources.current
         target, name = f"/discovery/hosts?stream=1&index={self._revision}", f"{host}:{port}"
         patience_s, silence_s = ((FIRST_ANSWER_S, SEVERAL_SILENCE_S) if self._sources.several
                                  else (self._first_line_s, SILENCE_S))
         self._calls += 1
         log.info("discovery: call %d to %s from revision %d", self._calls, name, self._revision)
-        self._watch = WatchConnection(self, target, name, patience_s, silence_s, self._life)
-        self._watch.number = self._calls
-        self._watch.open((host, port))
+        self._call = WatchConnection(self, target, name, patience_s, silence_s, self._life)
+        self._call.number = self._calls
+        self._call.open((host, port))
 
     def has_unread(self) -> bool:
         """News may lie in the watch's connection that the loop has not come round to."""
-        return self._watch is not None and self._watch.has_unread()
+        return any(connection.has_unread() for connection in self._connections())
 
     def whole_list(self) -> dict[str, Any]:
         """As discovery itself would tell it."""
@@ -165,7 +173,8 @@
             return
         log.info("discovery moves to %s:%d", *self._sources.current)
         self._pause_s = FIRST_PAUSE_S
-        self._outdated_watch = self._watch
+        for connection in self._connections():
+            connection.left_at = min(connection.left_at, self.loop.time())
         self._freshness.moved(self._now_ms(), 1000.0 * MOVE_DUE_S)
         self._news_due = min(self._news_due, self.loop.time() + MOVE_DUE_S)
         self._stop_moving()
@@ -173,7 +182,7 @@
 
     def change(self, must_ask: bool) -> None:
         self._must_ask = must_ask
-        if not must_ask and self._watch is None and self._moving is None:
+        if not must_ask and not self._connections() and self._moving is None:
             self.watch()
 
     def _stop_moving(self) -> None:
@@ -186,9 +195,12 @@
         if self._keeping is not None:
             self._keeping.cancel()
             self._keep()
-        if self._watch is not None:
-            self._watch.end("stopped", tell=False)
-            self._watch = None
+        for connection in self._connections():
+            connection.end("stopped", tell=False)
+        self._watch = self._call = None
+
+    def _connections(self) -> list[WatchConnection]:
+        return [connection for connection in (self._watch, self._call) if connection is not None]
 
     def not_to_take(self, message: dict[str, Any], life: str) -> str:
         """Why a line must not be told to the decisions; empty where it may. Only where several addresses tell one
@@ -206,8 +218,16 @@
             return f"older than what is known: {revision} after {self._revision}"
         return ""
 
-    def changed(self, message: dict[str, Any], servers: list[Server], addresses: dict[str, Address]) -> None:
-        self._revision = int(message.get("revision", self._revision))
+    def changed(self, watch: WatchConnection, message: dict[str, Any], servers: list[Server],
+                addresses: dict[str, Address]) -> None:
+        """A line of the watch, or the first one of the call that takes its place."""
+        revision = int(message.get("revision", self._revision))
+        if watch is self._call:
+            is_behind = self._watch is not None and revision < self._revision
+            self._take_over(watch, revision)
+            if is_behind:
+                return  # the watch has told more since the call was answered, and the call goes on from there
+        self._revision = revision
         if message.get("complete"):
             self._members.clear()
         for member in message.get("members") or ():
@@ -217,15 +237,10 @@
                 self._members[member["id"]] = member
         self._pause_s = FIRST_PAUSE_S
         self._first_line_s = FIRST_LINE_S
-        self._is_told()
+        self._is_told(watch)
         self._sources.worked()
         self._strange = 0
-        if self._watch is not None:
-            self._life = self._watch.life
-            if not self._watch.is_told:
-                self._watch.is_told = True
-                log.info("discovery: at revision %d, %.2f s after the call, number %d", self._revision,
-                         self.loop.time() - self._watch.opened_at, self._watch.number)
+        self._life = watch.life
         if self._list_file is not None and self._keeping is None:
             self._keeping = self.loop.call_later(KEEP_EVERY_S, self._keep)
         kind = ListKind.FULL if message.get("complete") else ListKind.DELTA
@@ -243,18 +258,35 @@
         log.info("discovery: call %d is over after %.2f s, %s: %s", watch.number, self.loop.time() - watch.opened_at,
                  watch.outcome(), reason)
 
+    def _take_over(self, call: WatchConnection, revision: int) -> None:
+        """The call has told a list and is the watch from here on."""
+        if self._watch is not None:
+            self._watch.end("replaced", tell=False)
+        self._watch, self._call = call, None
+        call.is_told = True
+        log.info("discovery: at revision %d, %.2f s after the call, number %d", revision,
+                 self.loop.time() - call.opened_at, call.number)
+        if self._call_again:
+            self._call_after(0.0)
+
     def ended(self, watch: WatchConnection, reason: str) -> None:
-        if watch is not self._watch:
+        """Discovery, the network or a line that can't be read has ended it."""
+        if watch is self._watch:
+            self._watch = None
+        elif watch is self._call:
+            self._call = None
+        else:
             return
-        self._watch = None
         if watch.is_answered:
             self._ended_due = self.loop.time() + ENDED_DUE_S
-            if watch.was_closed:
+            if watch.was_closed and watch.left_at == math.inf:  # a former address closes what it had
                 self._freshness.watch_closed(self._now_ms())
         else:
             if not watch.was_connected:
                 self._ended_due = math.inf  # discovery can't be reached: nothing counts as told before it can
             self._freshness.call_failed(watch.failure(), 1000.0 * watch.opened_at, self._now_ms())
+        if self._call is not None:
+            return  # a new one is on its way
         if self._sources.several and (soon := self._sources.failed()) is not None:
             self._moving = self.loop.call_later(soon, self.watch)
             return
@@ -267,7 +299,7 @@
 
     def fell_silent(self, watch: WatchConnection, silent_s: float) -> None:
         """It is kept until the next call, which all proxies make at a moment of their own."""
-        if watch is not self._watch:
+        if watch not in self._connections():
             return
         if self._sources.several:
             watch.end("silent")
@@ -281,6 +313,8 @@
             self._freshness.watch_fell_silent(1000.0 * (now - silent_s))
         else:
             self._freshness.call_failed(watch.failure(), 1000.0 * watch.opened_at, self._now_ms())
+        if watch is self._watch and self._call is not None:
+            return  # a new one is on its way
         due_ms = 1000.0 * self._due_in_s()
         if self._must_ask:
             self._deliver_failure(due_ms)
@@ -313,18 +347,24 @@
         due_in_s = min(self._news_due - now, NEWS_DUE_S - self._first_line_s)
         return min(due_in_s, self._ended_due - now) if now < self._ended_due else due_in_s
 
-    def _is_told(self) -> None:
-        """Nothing is missed, unless the watch is one at the address from before a move."""
+    def _is_told(self, watch: WatchConnection) -> None:
+        """Nothing is missed, unless the watch is at an address from before a move: then what is told after it left."""
         self._ended_due = math.inf
-        if self._watch is not None and self._watch is not self._outdated_watch:
+        if watch.left_at == math.inf:
             self._news_due = math.inf
             self._freshness.current()
+        else:
+            self._news_due = watch.left_at + MOVE_DUE_S
+            self._freshness.current()
+            self._freshness.moved(1000.0 * watch.left_at, 1000.0 * MOVE_DUE_S)
 
     def heard_again(self, watch: WatchConnection) -> None:
-        if watch is not self._watch:
+        if watch not in self._connections():
             return
         log.info("discovery: call %d is heard again", watch.number)
-        self._is_told()
+        self._is_told(watch)
+        if watch.left_at < math.inf or (watch is self._watch and self._call is not None):
+            return
         if self._must_ask:
             self._deliver(ListChanged(ListKind.ALIVE), {})
         else:
--- a/proxy/watch.py
+++ b/proxy/watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 import select
 from collections.abc import Iterator
@@ -79,7 +80,8 @@
 
     def not_to_take(self, message: dict[str, Any], life: str) -> str: ...
 
-    def changed(self, message: dict[str, Any], servers: list[Server], addresses: dict[str, Address]) -> None: ...
+    def changed(self, watch: WatchConnection, message: dict[str, Any], servers: list[Server],
+                addresses: dict[str, Address]) -> None: ...
 
     def fell_silent(self, watch: WatchConnection, silent_s: float) -> None: ...
 
@@ -92,6 +94,7 @@
 
 class WatchConnection(asyncio.Protocol):
     number = 0  # names the call in the log
+    left_at = math.inf  # when discovery moved away from its address, on the loop's clock in seconds
 
     def __init__(self, owner: Owner, target: str, host: str, patience_s: float, silence_s: float,
                  life: str = "") -> None:
@@ -119,6 +122,11 @@
         """When bytes last came, or the call was made; on the loop's clock, in seconds."""
         return self._heard_at
 
+    @property
+    def is_silent(self) -> bool:
+        """It was told to be silent, and nothing has come since."""
+        return self._silent
+
     @property
     def was_connected(self) -> bool:
         return self._transport is not None
@@ -170,7 +178,7 @@
         if reason := self._owner.not_to_take(message, self.life):
             self.end(reason)
             return
-        self._owner.changed(message, *self._owner.reader.read(message))
+        self._owner.changed(self, message, *self._owner.reader.read(message))
 
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -104,7 +104,8 @@
 
 
 @pytest.mark.parametrize("asked", [True, False])
-def test_after_a_move_the_watch_goes_on_at_the_new_address_without_a_failure(asked: bool) -> None:
+def test_a_drain_told_at_the_former_address_while_the_new_one_lets_the_call_wait_is_taken(asked: bool) -> None:
+    """The former watch was ended with the new call, though it tells on until the former address closes it."""
     async def test() -> None:
         old, new = await FakeServer().start(), await FakeServer().start()
         with Script().in_place() as script, mock.patch("proxy.discovery.MOVE_SPREAD_S", 0.02):
@@ -119,10 +120,60 @@
             rig.proxy.reconfigure(read_config(make_config("127.0.0.1:1", new.address), {}))
             moved = await new.next()
             assert moved.message.start == b"GET /discovery/hosts?stream=1&index=43 HTTP/1.1"
-            await call.closed()
+            call.send_list(44, False, member("s1", "127.0.0.1:9", phase="terminating"))
+            told = await script.until(api.ListChanged)
+            assert (told.kind, told.servers[0].state) == (ListKind.DELTA, api.State.DRAINING)
             moved.open_stream()
+            moved.send_list(43, False)  # answered before the drain
+            await call.closed()
             moved.send_list(44, False, member("s1", "127.0.0.1:9", phase="terminating"))
-            assert (await script.until(api.ListChanged)).kind is ListKind.DELTA
+            assert (await script.until(api.ListChanged)).servers[0].state is api.State.DRAINING
+
+    run(test)
+
+
+def test_a_call_that_waits_in_discovery_s_queue_is_left_there_when_discovery_moves_once_more() -> None:
+    """Each move gave up the call of the one before, which discovery works at all the same: its queue stayed full."""
+    async def test() -> None:
+        old, newer, newest = [await FakeServer().start() for _ in range(3)]
+        with Script().in_place() as script, mock.patch("proxy.discovery.MOVE_SPREAD_S", 0.02):
+            rig, _ = await watching(script, old)
+            for discovery in (newer, newest):
+                rig.proxy.reconfigure(
+                    read_config(make_config("127.0.0.1:1", discovery.address, discovery_mode="subscribe"), {}))
+                if discovery is newer:
+                    waiting = await newer.next()
+            await asyncio.sleep(0.1)
+            assert newest.calls.empty()
+            waiting.open_stream()
+            waiting.send_list(44, False, member("s1", "127.0.0.1:9", phase="terminating"))
+            assert (await script.until(api.ListChanged)).servers[0].state is api.State.DRAINING
+            last = await newest.next()
+            assert b"index=44" in last.message.start
+            last.open_stream()
+            last.send_list(44, False)
+            await waiting.closed()
+            rig.proxy.stop()
+
+    run(test)
+
+
+def test_a_call_at_a_former_address_that_is_closed_unanswered_is_made_anew_at_the_new_one() -> None:
+    async def test() -> None:
+        old, newer, newest = [await FakeServer().start() for _ in range(3)]
+        with mock.patch("proxy.discovery.MOVE_SPREAD_S", 0.02):
+            rig = await Rig().start(member("s1", "127.0.0.1:9"), discovery=old.address, asked=True)
+            first = await old.next()
+            first.open_stream()
+            first.send_list(43, False)
+            for discovery in (newer, newest):
+                rig.proxy.reconfigure(
+                    read_config(make_config("127.0.0.1:1", discovery.address, discovery_mode="subscribe"), {}))
+                if discovery is newer:
+                    waiting = await newer.next()
+            waiting.writer.close()
+            assert b"index=43" in (await newest.next()).message.start
+            rig.proxy.stop()
 
     run(test)
 
--- a/tests/test_outdated_list.py
+++ b/tests/test_outdated_list.py
@@ -181,6 +181,11 @@
     assert held.refusals < 0.1 * (held.sends + held.refusals)
 
 
+def test_nothing_is_sent_to_a_server_that_drains_while_discovery_moves_several_times_in_a_row() -> None:
+    assert outdated_list.play_seeds(outdated_list.MOVED, range(12)).late_sends == 0
+    assert outdated_list.play_seeds(outdated_list.MOVED, range(12), holds=False).late_sends > 0
+
+
 def test_a_watch_that_is_closed_after_an_outage_costs_no_late_send_of_its_proxy() -> None:
     """Others, that have had no list since the outage, come late by arithmetic: a call of all takes 6.5 s."""
     held = outdated_list.play_seeds(outdated_list.OUTAGE, range(16))
