Stop sends also where no list has come since an outage and discovery is back, its queue full

Seen in the emulator: 60 proxies, 8 s of outage, 8.2 s for a call of each, a server drains 0.2 s after the return: 5 late sends in 6 plays.

What a broken watch missed counts 6 s after the last call that may have found discovery down, and only where a refusal at once follows calls that failed in another way: an outage that refuses at once from its first call on looks like a full queue, and test_an_outage_of_discovery_refuses_nothing holds as it is.

test_a_proxy_that_has_had_no_list_since_an_outage_sends_nothing_to_a_server_that_drains fails on the commit before.

--- a/proxy/discovery.py
+++ b/proxy/discovery.py
@@ -126,6 +126,7 @@
         self._news_due = loop.time() + NEWS_DUE_S  # when what is missed counts as told
         self._ended_due = math.inf  # when what an ended watch may have left out counts as told
         self._freshness = ListFreshness()
+        self._freshness.watch_broke(self._now_ms())
         self._moving: asyncio.TimerHandle | None = None  # the next call, where it is not the module's to order
         self._call_again = False  # once the call at a former address has ended, at the one of now
         self._list_file = list_file
@@ -279,8 +280,11 @@
             return
         if watch.is_answered:
             self._ended_due = self.loop.time() + ENDED_DUE_S
-            if watch.was_closed and watch.left_at == math.inf:  # a former address closes what it had
+            # A former address closes what it had; its end hides nothing.
+            if watch.was_closed and watch.left_at == math.inf:
                 self._freshness.watch_closed(self._now_ms())
+            else:
+                self._freshness.watch_broke(self._now_ms())
         else:
             if not watch.was_connected:
                 self._ended_due = math.inf  # discovery can't be reached: nothing counts as told before it can
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -56,3 +56,43 @@
     assert freshness.outdated_in_ms(210.0) == math.inf
     refused_at_once(freshness, 5_000.0)
     assert freshness.outdated_in_ms(5_000.0) == CLOSED_DUE_MS - 5_000.0
+
+
+def test_a_watch_that_broke_or_a_start_counts_only_where_discovery_is_seen_at_work() -> None:
+    freshness = ListFreshness()
+    freshness.watch_broke(0.0)
+    freshness.call_failed(CallFailure.REFUSED, 100.0, 100.0 + QUEUE_WAIT_MS)
+    assert freshness.outdated_in_ms(2_100.0) == math.inf
+    refused_at_once(freshness, 3_000.0)
+    assert freshness.outdated_in_ms(3_000.0) == 100.0 + NEWS_DUE_MS - 3_000.0
+    assert freshness.outdated_in_ms(3_000.0 + AT_WORK_MS) == math.inf
+    freshness.current()
+    refused_at_once(freshness, 4_000.0)
+    assert freshness.outdated_in_ms(4_000.0) == math.inf
+
+
+@pytest.mark.parametrize("failure", [CallFailure.UNREACHABLE, CallFailure.UNANSWERED, CallFailure.REFUSED])
+def test_a_call_that_may_have_found_discovery_down_puts_off_what_a_broken_watch_missed(failure: CallFailure) -> None:
+    """Nothing counts as known while discovery can't be reached, and 6 s after its return at the earliest."""
+    freshness = ListFreshness()
+    freshness.watch_broke(0.0)
+    for asked_at in (1_000.0, 5_000.0):
+        freshness.call_failed(failure, asked_at, asked_at + QUEUE_WAIT_MS)
+    refused_at_once(freshness, 8_000.0)
+    assert freshness.outdated_in_ms(8_000.0) == 5_000.0 + NEWS_DUE_MS - 8_000.0
+
+
+def test_a_call_that_found_discovery_down_puts_off_nothing_that_a_closed_watch_hid() -> None:
+    freshness = ListFreshness()
+    freshness.watch_closed(0.0)
+    freshness.call_failed(CallFailure.UNANSWERED, 1_000.0, 1_500.0)
+    refused_at_once(freshness, 1_600.0)
+    assert freshness.outdated_in_ms(1_600.0) == CLOSED_DUE_MS - 1_600.0
+
+
+def test_an_outage_that_refuses_at_once_from_its_first_call_on_is_not_taken_for_a_full_queue() -> None:
+    freshness = ListFreshness()
+    freshness.watch_broke(0.0)
+    for now in range(100, 20_000, 500):
+        refused_at_once(freshness, float(now))
+        assert freshness.outdated_in_ms(float(now)) == math.inf
--- a/tests/test_outdated_list.py
+++ b/tests/test_outdated_list.py
@@ -195,6 +195,25 @@
     assert held.late_sends < sent_on.late_sends
 
 
+def late_after_an_outage(seed: int) -> World:
+    """Discovery returns after 8 s, a server drains 0.2 s later, and a call of each proxy takes longer than 6 s."""
+    world = World(60, 30, asked=True, all_call_s=8.2, seed=seed)
+    world.run(30.0)
+    world.clients_come()
+    world.go_down(8.0, "503 after the wait")
+    world.run(8.2)
+    world.change("s2")
+    world.run(14.0)
+    return world
+
+
+def test_a_proxy_that_has_had_no_list_since_an_outage_sends_nothing_to_a_server_that_drains() -> None:
+    worlds = [late_after_an_outage(seed) for seed in range(8)]
+    assert [world.late for world in worlds] == [[]] * len(worlds)
+    with mock.patch.multiple("balancing.outdated", UNSEEN_WAIT_MS=0.0, LONGEST_WAIT_MS=0.0):
+        assert any(late_after_an_outage(seed).late for seed in range(8))
+
+
 @pytest.mark.parametrize("answers", ["refused", "reset", "503", "503 after the wait"])
 def test_an_outage_of_discovery_refuses_nothing(answers: str) -> None:
     world = World(17, 30, asked=True, all_call_s=3.7)
