Take a silent watch for current again only once a whole line has come

A watch that had fallen silent, or a call that had no list yet, counted as current as soon as any byte came, half a line too; what it had missed was forgotten and sends went on by the old list.

Being heard again is now told after a whole line on a watch that has told a list.

--- a/proxy/watch.py
+++ b/proxy/watch.py
@@ -30,6 +30,10 @@
         self._lines: list[bytes] = []  # of an object that is not all in
         self._size = self._depth = 0
 
+    def is_between(self) -> bool:
+        """Nothing of a further object has come."""
+        return not self._waiting and not self._lines
+
     def feed(self, data: bytes) -> Iterator[Any]:
         """The objects that are whole by now. ValueError: what has come can be no list."""
         searched = len(self._waiting)
@@ -94,6 +98,7 @@
 
 class WatchConnection(asyncio.Protocol):
     number = 0  # names the call in the log
+    _owes_heard_again = False  # it was told to be silent; that it no longer is has yet to be told
     left_at = math.inf  # when discovery moved away from its address, on the loop's clock in seconds
 
     def __init__(self, owner: Owner, target: str, host: str, patience_s: float, silence_s: float,
@@ -173,6 +178,10 @@
                     break
         except (ValueError, KeyError, TypeError, AttributeError) as problem:
             self.end(f"a line not understood: {type(problem).__name__}: {problem}")
+        # Half a line shows no list to be current.
+        if self._owes_heard_again and self.is_told and self._objects.is_between() and not self._ended:
+            self._owes_heard_again = False
+            self._owner.heard_again(self)
 
     def _read(self, message: dict[str, Any]) -> None:
         if reason := self._owner.not_to_take(message, self.life):
@@ -220,8 +229,8 @@
         self.is_answered = True
         if self._silent:
             self._silent = False
+            self._owes_heard_again = True
             self._silence = self._owner.loop.call_later(self._patience_s, self._check_silence)
-            self._owner.heard_again(self)
 
     def _check_silence(self) -> None:
         """Guards against a discovery machine that vanished: its connection stays open and says nothing."""
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,93 @@
+"""One call for the list, from bytes to what its owner is told."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from balancing.api import Server
+from proxy.config import Address
+from proxy.watch import WatchConnection
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+LIST = b'{"revision":7,"complete":false,"members":[]}\n'
+
+
+class Reader:
+    def read(self, message: dict[str, Any]) -> tuple[list[Server], dict[str, Address]]:
+        return [], {}
+
+
+class RecordingOwner:
+    """Notes what it is told; silence is told at once."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.reader = Reader()
+        self.told: list[str] = []
+
+    def not_to_take(self, message: dict[str, Any], life: str) -> str:
+        return ""
+
+    def changed(self, watch: WatchConnection, message: dict[str, Any], servers: list[Server],
+                addresses: dict[str, Address]) -> None:
+        watch.is_told = True
+        self.told.append(f"revision {message['revision']}")
+
+    def fell_silent(self, watch: WatchConnection, silent_s: float) -> None:
+        self.told.append("silent")
+
+    def heard_again(self, watch: WatchConnection) -> None:
+        self.told.append("heard again")
+
+    def call_ended(self, watch: WatchConnection, reason: str) -> None:
+        self.told.append("over")
+
+    def ended(self, watch: WatchConnection, reason: str) -> None:
+        self.told.append("ended")
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def test_half_a_line_on_a_watch_that_fell_silent_does_not_show_the_list_to_be_current() -> None:
+    async def test() -> None:
+        owner = RecordingOwner()
+        watch = WatchConnection(owner, "/", "x", 0.05, 0.05)
+        watch.data_received(HEAD + chunk(LIST))
+        await asyncio.sleep(0.1)
+        watch.data_received(chunk(b'{"revision":8,"complete"'))
+        assert owner.told == ["revision 7", "silent"]
+        watch.data_received(chunk(b':false,"members":[]}\n'))
+        assert owner.told == ["revision 7", "silent", "revision 8", "heard again"]
+        watch.end("over")
+
+    asyncio.run(test())
+
+
+def test_an_empty_line_shows_a_watch_that_fell_silent_to_be_current() -> None:
+    async def test() -> None:
+        owner = RecordingOwner()
+        watch = WatchConnection(owner, "/", "x", 0.05, 0.05)
+        watch.data_received(HEAD + chunk(LIST))
+        await asyncio.sleep(0.1)
+        watch.data_received(chunk(b"\n"))
+        assert owner.told == ["revision 7", "silent", "heard again"]
+        watch.end("over")
+
+    asyncio.run(test())
+
+
+def test_a_call_that_was_silent_is_heard_again_with_its_first_list_and_not_with_an_empty_line() -> None:
+    async def test() -> None:
+        owner = RecordingOwner()
+        watch = WatchConnection(owner, "/", "x", 0.05, 0.05)
+        await asyncio.sleep(0.1)
+        watch.data_received(HEAD + chunk(b"\n"))
+        assert owner.told == ["silent"]
+        watch.data_received(chunk(LIST))
+        assert owner.told == ["silent", "revision 7", "heard again"]
+        watch.end("over")
+
+    asyncio.run(test())
