Say at once from when on a move or a lost watch makes the list outdated

A new event, FreshnessChanged, tells it at once. What an address refused before a move still shows discovery at work: it is one service.

--- a/balancing/api.py
+++ b/balancing/api.py
@@ -170,6 +170,14 @@
     at_work_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class FreshnessChanged:
+    """Nothing new of the servers, but of how outdated the list may be; as in `ListChanged`."""
+
+    outdated_in_ms: float = math.inf
+    at_work_ms: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     request: str  # an id that never comes twice
@@ -265,8 +273,8 @@
     token: int
 
 
-Event = (RequestArrived | BodyGone | BodyEnded | AttemptEnded | TimerFired | ListChanged | ClientGone
-         | StreamStarted | SettingsChanged | TakenOver | Yielded)
+Event = (RequestArrived | BodyGone | BodyEnded | AttemptEnded | TimerFired | ListChanged | FreshnessChanged
+         | ClientGone | StreamStarted | SettingsChanged | TakenOver | Yielded)
 
 
 # --- actions ---
--- a/balancing/balancer.py
+++ b/balancing/balancer.py
@@ -520,6 +520,8 @@
                 self._timer_fired(event.token, now)
             case api.ListChanged():
                 self._list_changed(event, now)
+            case api.FreshnessChanged():
+                self._outdated.update(event, now)
             case api.ClientGone():
                 self._close(event.request)
             case api.StreamStarted():
--- a/balancing/outdated.py
+++ b/balancing/outdated.py
@@ -8,7 +8,7 @@
 
 import math
 
-from balancing.api import QUEUE_WAIT_MS, ListChanged
+from balancing.api import QUEUE_WAIT_MS, FreshnessChanged, ListChanged
 
 UNSEEN_WAIT_MS = 2.0 * QUEUE_WAIT_MS  # a call for the list that is refused after its wait, and the next one
 # A discovery that refuses every call for longer is out of order, not busy: it has no list for anybody.
@@ -26,7 +26,7 @@
         self._since = math.inf  # when a change that the list may lack counts as known
         self._until = math.inf
 
-    def update(self, event: ListChanged, now: float) -> None:
+    def update(self, event: ListChanged | FreshnessChanged, now: float) -> None:
         """Take over what an event says of the list in use, at `now`."""
         self._since = now + event.outdated_in_ms
         seen_until = min(now + event.at_work_ms, self._since + LONGEST_WAIT_MS)
--- a/proxy/discovery.py
+++ b/proxy/discovery.py
@@ -17,7 +17,7 @@
 from typing import Any
 from zlib import crc32
 
-from balancing.api import LINE_MS, NEWS_DUE_MS, QUEUE_WAIT_MS, ListChanged, ListKind, Server, State
+from balancing.api import LINE_MS, NEWS_DUE_MS, QUEUE_WAIT_MS, FreshnessChanged, ListChanged, ListKind, Server, State
 from balancing.balancer import widest_pause_ms
 from balancing.freshness import ListFreshness
 from proxy.config import Address, read_address
@@ -103,7 +103,8 @@
     """The watch, at one of several addresses; with a single one nothing here differs from calling it alone."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, addresses: Sequence[Address], reader: ListReader,
-                 must_ask: bool, known: dict[str, Any], deliver: Callable[[ListChanged, dict[str, Address]], None],
+                 must_ask: bool, known: dict[str, Any],
+                 deliver: Callable[[ListChanged | FreshnessChanged, dict[str, Address]], None],
                  list_file: Path | None = None, metrics: ProxyMetrics | None = None) -> None:
         self.loop = loop
         self._metrics = metrics or ProxyMetrics()
@@ -180,6 +181,7 @@
         self._news_due = min(self._news_due, self.loop.time() + MOVE_DUE_S)
         self._stop_moving()
         self._moving = self.loop.call_later(random.uniform(0.0, MOVE_SPREAD_S), self.watch)
+        self._deliver_freshness()
 
     def change(self, must_ask: bool) -> None:
         self._must_ask = must_ask
@@ -290,6 +292,7 @@
                 self._ended_due = math.inf  # discovery can't be reached: nothing counts as told before it can
             self._freshness.call_failed(watch.failure(), 1000.0 * watch.opened_at, self._now_ms())
         if self._call is not None:
+            self._deliver_freshness()
             return  # a new one is on its way
         if self._sources.several and (soon := self._sources.failed()) is not None:
             self._moving = self.loop.call_later(soon, self.watch)
@@ -318,6 +321,7 @@
         else:
             self._freshness.call_failed(watch.failure(), 1000.0 * watch.opened_at, self._now_ms())
         if watch is self._watch and self._call is not None:
+            self._deliver_freshness()
             return  # a new one is on its way
         due_ms = 1000.0 * self._due_in_s()
         if self._must_ask:
@@ -331,6 +335,11 @@
             log.info("discovery: the list may be outdated in %.2f s", event.outdated_in_ms / 1000.0)
         self._deliver(event, {})
 
+    def _deliver_freshness(self) -> None:
+        if self._must_ask and not self._sources.several:
+            now = self._now_ms()
+            self._deliver(FreshnessChanged(self._freshness.outdated_in_ms(now), self._freshness.at_work_ms(now)), {})
+
     def _now_ms(self) -> float:
         return 1000.0 * self.loop.time()
 
@@ -368,6 +377,7 @@
         log.info("discovery: call %d is heard again", watch.number)
         self._is_told(watch)
         if watch.left_at < math.inf or (watch is self._watch and self._call is not None):
+            self._deliver_freshness()
             return
         if self._must_ask:
             self._deliver(ListChanged(ListKind.ALIVE), {})
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -174,7 +174,7 @@
         told = told if told is not None and self._can_use(told, reader) else None
         known = told["list"] if told is not None else self._known(reader)
         self._discovery = Discovery(
-            loop, config.discovery, reader, config.settings.must_ask, known, self._list_changed, config.list_file,
+            loop, config.discovery, reader, config.settings.must_ask, known, self._discovery_told, config.list_file,
             self._metrics)
         servers, addresses = reader.read(known)
         self._list_changed(api.ListChanged(ListKind.CACHED, tuple(servers)), addresses)
@@ -286,6 +286,13 @@
         for action in actions:
             self._carry_out(action)
 
+    def _discovery_told(self, event: api.ListChanged | api.FreshnessChanged, addresses: dict[str, Address]) -> None:
+        if isinstance(event, api.ListChanged):
+            self._list_changed(event, addresses)
+            return
+        self._outdated.update(event, now_ms())
+        self._dispatch(event)
+
     def _list_changed(self, event: api.ListChanged, addresses: dict[str, Address]) -> None:
         self._outdated.update(event, now_ms())
         if event.kind.tells_servers:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -364,3 +364,23 @@
             assert 0.0 < failed.due_ms <= 3_500.0
 
     run(test)
+
+
+def test_a_move_after_refusals_at_once_stops_sends_in_time_though_the_next_call_gets_no_answer() -> None:
+    """Nothing was said of a move before the next call failed, which may be after its time."""
+    async def test() -> None:
+        old, new = await FakeServer().start(), await FakeServer().start()
+        with Script().in_place() as script, mock.patch.multiple("proxy.discovery", MOVE_SPREAD_S=0.01, MOVE_DUE_S=1.0):
+            rig, first = await watching(script, old)
+            first.reset()
+            assert (await script.until(api.ListChanged)).kind is ListKind.FAILED
+            rig.proxy._discovery.watch()
+            (await old.next()).reply(503)
+            assert (await script.until(api.ListChanged)).kind is ListKind.FAILED
+            rig.proxy.reconfigure(read_config(make_config("127.0.0.1:1", new.address, discovery_mode="subscribe"), {}))
+            told = await script.until(api.FreshnessChanged)
+            assert told.outdated_in_ms == pytest.approx(1_000.0, abs=100.0)
+            assert told.at_work_ms > 5_000.0
+            rig.proxy.stop()
+
+    run(test)
