Call for the list less in vain: not beside a good watch, and soon again after refusals at once

A refusal at once ends the wide pauses: a queue that refuses so answers whom it takes. Both new tests fail without the change.

--- a/balancing/congestion.py
+++ b/balancing/congestion.py
@@ -18,7 +18,8 @@
     """How far the pause between two calls for the list widens.
 
     Guards against a queue that stays too long for good. It harms after an outage of a discovery that could
-    answer all at once: the list comes up to a pause later.
+    answer all at once: the list comes up to a pause later. A refusal at once ends it, since such a queue refuses
+    what it would not answer in time.
     """
 
     def __init__(self) -> None:
@@ -36,8 +37,9 @@
 
     def failed(self, now: float) -> None:
         """A call has failed, or a watch was lost."""
-        if self._is_waiting and now - self._asked_at >= VAIN_WAIT_MS:
-            self._vain_waits += 1
+        if self._is_waiting:
+            is_vain = now - self._asked_at >= VAIN_WAIT_MS
+            self._vain_waits = self._vain_waits + 1 if is_vain else 0
         self._is_waiting = False
 
     def widest_pause_ms(self) -> float:
--- a/proxy/discovery.py
+++ b/proxy/discovery.py
@@ -141,6 +141,9 @@
         """Call anew. A call that stands in discovery's queue is left there, since it is worked at all the same, and
         a watch tells on until the call has told a list; silent ones are ended."""
         self._stop_moving()
+        if self._has_good_watch():
+            self._deliver(ListChanged(ListKind.ALIVE), {})  # another call was answered before this one was due
+            return
         if self._call is not None and not self._call.is_silent:
             self._call_again = self._call.left_at < math.inf
             return
@@ -160,6 +163,10 @@
         self._call.number = self._calls
         self._call.open((host, port))
 
+    def _has_good_watch(self) -> bool:
+        """It tells of each change, at the address of now."""
+        return self._watch is not None and not self._watch.is_silent and self._watch.left_at == math.inf
+
     def has_unread(self) -> bool:
         """News may lie in the watch's connection that the loop has not come round to."""
         return any(connection.has_unread() for connection in self._connections())
--- a/tests/test_congestion.py
+++ b/tests/test_congestion.py
@@ -76,6 +76,17 @@
     assert congestion.widest_pause_ms() == 0.0
 
 
+def test_a_refusal_at_once_ends_the_wide_pauses_since_such_a_queue_answers_whom_it_takes() -> None:
+    congestion = ListCongestion()
+    for number in range(VAIN_WAITS):
+        congestion.asked(10_000.0 * number)
+        congestion.failed(10_000.0 * number + QUEUE_WAIT_MS)
+    assert congestion.widest_pause_ms() == WIDE_PAUSE_MS
+    congestion.asked(1e6)
+    congestion.failed(1e6 + 20.0)
+    assert congestion.widest_pause_ms() == 0.0
+
+
 def test_the_balancer_draws_its_pauses_from_the_widened_range() -> None:
     pauses: list[float] = []
     for seed in range(200):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -384,3 +384,19 @@
             rig.proxy.stop()
 
     run(test)
+
+
+def test_no_call_is_made_where_a_watch_tells_of_each_change() -> None:
+    """A move's call may be answered while the call after an earlier failure is still due."""
+    async def test() -> None:
+        discovery = await FakeServer().start()
+        with Script().in_place() as script:
+            rig, watch = await watching(script, discovery)
+            rig.proxy._discovery.watch()
+            assert (await script.until(api.ListChanged)).kind is ListKind.ALIVE
+            watch.send_list(44, False)
+            assert (await script.until(api.ListChanged)).kind is ListKind.DELTA
+            assert discovery.calls.empty()
+            rig.proxy.stop()
+
+    run(test)
