Stop sends in time also after a start or a reset whose calls are all refused at once

Nothing said that its list was too old, since a start or a reset counted only after calls that had failed in another way.

--- a/balancing/api.py
+++ b/balancing/api.py
@@ -160,14 +160,14 @@
     to be answered by then. A watch that has fallen silent is kept until the next `Watch`: it may be heard again.
 
     `outdated_in_ms`: the time until a change that the list in use may lack counts as known, where discovery is seen to
-    be reachable; infinite where nothing is missed, or nobody can tell. `at_work_ms`: for how long what the host
-    has seen shows discovery at work, which answers whom it can; not above 0 where nothing shows it."""
+    be reachable; infinite where nothing is missed, or nobody can tell. `longest_stop_ms`: for how long at most no
+    attempt begins from then on."""
 
     kind: ListKind
     servers: tuple[Server, ...] = ()
     due_ms: float = math.inf
     outdated_in_ms: float = math.inf
-    at_work_ms: float = 0.0
+    longest_stop_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,7 +175,7 @@
     """Nothing new of the servers, but of how outdated the list may be; as in `ListChanged`."""
 
     outdated_in_ms: float = math.inf
-    at_work_ms: float = 0.0
+    longest_stop_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/balancing/congestion.py
+++ b/balancing/congestion.py
@@ -18,8 +18,8 @@
     """How far the pause between two calls for the list widens.
 
     Guards against a queue that stays too long for good. It harms after an outage of a discovery that could
-    answer all at once: the list comes up to a pause later. A refusal at once ends it, since such a queue refuses
-    what it would not answer in time.
+    answer all at once: the list comes up to a pause later. A refusal at once ends it, since such a queue
+    refuses what it would not answer in time.
     """
 
     def __init__(self) -> None:
--- a/balancing/freshness.py
+++ b/balancing/freshness.py
@@ -12,11 +12,12 @@
 from enum import Enum
 
 from balancing.api import NEWS_DUE_MS, QUEUE_WAIT_MS
-from balancing.congestion import VAIN_WAIT_MS, WIDE_PAUSE_MS
+from balancing.congestion import VAIN_WAIT_MS
 
 CLOSED_DUE_MS = QUEUE_WAIT_MS  # a watch may be closed in place of reporting a change
-# A refusal at once shows discovery at work until the next call has ended: widest pause, its wait, some slack.
-AT_WORK_MS = WIDE_PAUSE_MS + QUEUE_WAIT_MS + 500.0
+# Longer than that, a discovery that answers nobody is out of order, not busy.
+LONGEST_STOP_MS = 30_000.0
+UNSURE_STOP_MS = 2.0 * QUEUE_WAIT_MS  # a call for the list that is refused after its wait, and the next one
 
 
 class CallFailure(Enum):
@@ -27,6 +28,14 @@
     UNANSWERED = "unanswered"  # it broke or was given up with no answer
 
 
+class Sight(Enum):
+    """What is seen of discovery since the list was last current."""
+
+    NONE = "none"  # nothing, or that it can't be reached
+    UNSURE = "unsure"  # it is down, or has a queue that is too long
+    AT_WORK = "at work"
+
+
 class ListFreshness:
     """What is missed by the list in use, and what is seen of discovery."""
 
@@ -35,27 +44,21 @@
         # The same of a watch that broke, or of a start: put off by each call that may have found discovery
         # down.
         self._broken_due = math.inf
-        self._looked_down = False  # such a call there has been since
-        self._is_reached = False  # it has refused a call since a watch was lost
-        self._at_work_until = -math.inf
+        self._sight = Sight.NONE
 
     def current(self) -> None:
         """The list is whole: one has come, or a silent watch is heard again."""
         self._due = self._broken_due = math.inf
-        self._is_reached = self._looked_down = False
-        self._at_work_until = -math.inf
+        self._sight = Sight.NONE
 
     def watch_broke(self, now: float) -> None:
-        """A watch was reset, as where discovery goes down, or this is the start: there has been none.
-
-        An outage may refuse at once as a full queue does. Only where calls failed in another way before does
-        a refusal at once show that it is over.
-        """
+        """A watch was reset, as where discovery goes down, or this is the start: there has been none."""
         self._broken_due = min(self._broken_due, now + NEWS_DUE_MS)
 
     def watch_closed(self, now: float) -> None:
-        """A watch was ended by discovery in good order."""
+        """A watch was ended in good order, by a discovery that is at work."""
         self._due = min(self._due, now + CLOSED_DUE_MS)
+        self._sight = Sight.AT_WORK
 
     def watch_fell_silent(self, last_heard: float) -> None:
         """A watch has said nothing since `last_heard`."""
@@ -68,25 +71,25 @@
     def call_failed(self, failure: CallFailure, asked_at: float, now: float) -> None:
         """A call made at `asked_at` has ended without a list."""
         is_at_once = failure is CallFailure.REFUSED and now - asked_at < VAIN_WAIT_MS
+        is_unsure = failure is CallFailure.REFUSED and not is_at_once
+        known_by = asked_at if is_unsure else now  # it may have been down ever since the call
+        if self._sight is Sight.AT_WORK and min(self._due, self._broken_due) <= known_by:
+            return  # what counts as known stays so, whatever becomes of discovery
         if is_at_once:
-            self._at_work_until = now + AT_WORK_MS
-        elif self._broken_due < math.inf:
+            self._sight = Sight.AT_WORK
+            return
+        self._sight = Sight.UNSURE if is_unsure else Sight.NONE
+        if self._broken_due < math.inf:
             self._broken_due = max(self._broken_due, asked_at + NEWS_DUE_MS)
-            self._looked_down = True
-        if failure is CallFailure.REFUSED:
-            self._is_reached = True
-        elif failure is CallFailure.UNREACHABLE:
-            self._is_reached = False
-            self._at_work_until = -math.inf
 
     def outdated_in_ms(self, now: float) -> float:
         """Until a change that the list may lack counts as known; negative where that is past, infinite where
         nothing is missed or nothing shows that discovery can be reached."""
-        due = self._due if self._is_reached else math.inf
-        if self._looked_down and self._at_work_until > now:
-            due = min(due, self._broken_due)
+        if self._sight is Sight.NONE:
+            return math.inf
+        due = min(self._due, self._broken_due) if self._sight is Sight.AT_WORK else self._due
         return due - now
 
-    def at_work_ms(self, now: float) -> float:
-        """For how long what is seen shows discovery at work; negative where it does not."""
-        return self._at_work_until - now
+    def longest_stop_ms(self) -> float:
+        """For how long at most no attempt begins by a list that is outdated."""
+        return UNSURE_STOP_MS if self._sight is Sight.UNSURE else LONGEST_STOP_MS
--- a/mastlift/lab/emulator/lists.py
+++ b/mastlift/lab/emulator/lists.py
@@ -206,7 +206,7 @@
         discovery.move([(f"127.0.0.{int(host.rpartition('.')[2]) + 1}", port)])
         self.loop.call_later(FORMER_ADDRESS_S, self._close, former)
         for name in self.changes:
-            if self.proxies[number].told.get(name) is None:
+            if not self.is_down and self.proxies[number].told.get(name) is None:
                 self._count(self.proxies[number], name, self.loop.now + MOVE_DUE_S)
 
     def _close(self, wires: list[Wire]) -> None:
@@ -270,6 +270,9 @@
         """Meanwhile calls are refused, reset, or answered 503, at once or after the longest wait."""
         self.is_down, self.down_answers = True, answers
         self.line.clear()
+        for proxy in self.proxies:  # what does not count as told yet counts anew from the return on
+            proxy.silent_since = None
+            proxy.told = {name: at for name, at in proxy.told.items() if at <= self.loop.now}
         for wire in self.wires:
             if not wire.silent and not wire.closed:
                 self.loop.call_later(0.0, wire.protocol.connection_lost, None)
--- a/proxy/discovery.py
+++ b/proxy/discovery.py
@@ -57,6 +57,7 @@
 # All proxies are told of a new address at one moment, and it answers calls in turn; the old one still
 # keeps its open connections for 1.5 s.
 MOVE_SPREAD_S = 1.0
+FORMER_CLOSES_S = 1.5 - 0.05  # after the signal, less what the signal takes to get here
 
 
 class ListReader:
@@ -268,6 +269,10 @@
         log.info("discovery: call %d is over after %.2f s, %s: %s", watch.number, self.loop.time() - watch.opened_at,
                  watch.outcome(), reason)
 
+    def _is_left_behind(self, watch: WatchConnection) -> bool:
+        """A former address closes all that it has: the end of a watch there hides nothing."""
+        return self.loop.time() >= watch.left_at + FORMER_CLOSES_S
+
     def _take_over(self, call: WatchConnection, revision: int) -> None:
         """The call has told a list and is the watch from here on."""
         if self._watch is not None:
@@ -289,8 +294,7 @@
             return
         if watch.is_answered:
             self._ended_due = self.loop.time() + ENDED_DUE_S
-            # A former address closes what it had; its end hides nothing.
-            if watch.was_closed and watch.left_at == math.inf:
+            if watch.was_closed and not self._is_left_behind(watch):
                 self._freshness.watch_closed(self._now_ms())
             else:
                 self._freshness.watch_broke(self._now_ms())
@@ -344,8 +348,8 @@
 
     def _deliver_freshness(self) -> None:
         if self._must_ask and not self._sources.several:
-            now = self._now_ms()
-            self._deliver(FreshnessChanged(self._freshness.outdated_in_ms(now), self._freshness.at_work_ms(now)), {})
+            self._deliver(FreshnessChanged(
+                self._freshness.outdated_in_ms(self._now_ms()), self._freshness.longest_stop_ms()), {})
 
     def _now_ms(self) -> float:
         return 1000.0 * self.loop.time()
@@ -355,9 +359,8 @@
         of the one that refused, and nothing is said."""
         if self._sources.several:
             return event
-        now = self._now_ms()
-        return replace(event, outdated_in_ms=self._freshness.outdated_in_ms(now),
-                       at_work_ms=self._freshness.at_work_ms(now))
+        return replace(event, outdated_in_ms=self._freshness.outdated_in_ms(self._now_ms()),
+                       longest_stop_ms=self._freshness.longest_stop_ms())
 
     def _due_in_s(self) -> float:
         """After a failure. What is overdue can't be told in time any more: what comes from now on can."""
