Count the list as current also where the next call's answer is behind the watch

Found on reading the change again: where the former watch had told more than the first answer of the new call, that answer was left out, and with it the end of what the move had made uncertain. A later close would have stopped sends from the move's time on, for up to 30 s. The test of the older answer asks for it and fails without the line.

--- a/proxy/discovery.py
+++ b/proxy/discovery.py
@@ -236,8 +236,10 @@
         if watch is self._call:
             is_behind = self._watch is not None and revision < self._revision
             self._take_over(watch, revision)
-            if is_behind:
-                return  # the watch has told more since the call was answered, and the call goes on from there
+            if is_behind:  # the watch has told more since the call was answered, and the call goes on from there
+                self._is_told(watch)
+                self._deliver(self.with_freshness(ListChanged(ListKind.ALIVE)), {})
+                return
         self._revision = revision
         if message.get("complete"):
             self._members.clear()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,7 +13,7 @@
 
 from balancing import api
 from balancing.api import ListKind, State
-from balancing.freshness import LONGEST_STOP_MS
+from balancing.freshness import CLOSED_DUE_MS, LONGEST_STOP_MS
 from proxy.config import read_config
 from proxy.discovery import ListReader
 from proxy.listfile import read_list, write_list
@@ -127,6 +127,10 @@
             moved.open_stream()
             moved.send_list(43, False)  # answered before the drain
             await call.closed()
+            assert (await script.until(api.ListChanged)).kind is ListKind.ALIVE
+            freshness, closed_at = rig.proxy._discovery._freshness, 1000.0 * rig.proxy._discovery.loop.time() + 10_000.0
+            freshness.watch_closed(closed_at)
+            assert freshness.outdated_in_ms(closed_at) == CLOSED_DUE_MS  # and nothing is left of the move
             moved.send_list(44, False, member("s1", "127.0.0.1:9", phase="terminating"))
             assert (await script.until(api.ListChanged)).servers[0].state is api.State.DRAINING
 
