--- a/review/standins.py
+++ b/review/standins.py
@@ -26,6 +26,7 @@
 HOST = "127.0.0.1"
 CASE_LIMIT_S = 110.0
 READY_LIMIT_S = 30.0
+MEMORY_MB = 192  # the most that a proxy is given
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -267,7 +268,7 @@
             "control": f"{HOST}:{self.control_port}",
             "discovery": discovery.address,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024},
             "known": discovery.list(),
             "settings": settings,
         }
@@ -323,6 +324,14 @@
     def is_running(self) -> bool:
         return self._process is not None and self._process.returncode is None
 
+    def memory_mb(self) -> float:
+        """Memory that the process holds, in MB of 1,000,000 bytes; 0 once it has ended."""
+        try:
+            lines = Path(f"/proc/{self.pid}/status").read_text(encoding="ascii").splitlines()
+        except OSError:
+            return 0.0
+        return next((int(line.split()[1]) * 1024 / 1e6 for line in lines if line.startswith("VmRSS:")), 0.0)
+
     def log(self) -> str:
         return self._log.read_text(encoding="utf-8", errors="replace")
 
