--- a/review/2/case.py
+++ b/review/2/case.py
@@ -27,7 +27,7 @@
 )
 
 CLIENTS = 48
-SHORTEST, STEP = 2_000_000, 100_000  # bytes of the answers, each longer than the one before
+SHORTEST, STEP = 4_000_000, 40_000  # bytes of the answers, each longer than the one before
 RATE = 800_000.0  # bytes per second that a client reads
 RECEIVE_BUFFER = 131_072  # bytes of a client's socket
 PIECE = 65_536
