--- a/review/1/case.py
+++ b/review/1/case.py
@@ -34,7 +34,8 @@
     writer.write(answer_200(b"ordered: " + request.body))
 
 
-async def order(proxy: Proxy, record: Record, number: int) -> tuple[str, bytes, Request]:
+async def order(proxy: Proxy, record: Record, number: int) -> tuple[str, bytes, Request | None]:
+    """Sends an order on a new connection. Returns its id, its body and the answer, if there was one."""
     trace_id, body = f"{0xB0743EAF5D3A9000 + number:016x}", b'{"part": %d, "pieces": 12}' % number
     head = (
         f"POST /order-place HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: {trace_id}\r\nX-Qos: order-place\r\n"
@@ -43,8 +44,12 @@
     reader, writer = await asyncio.open_connection(HOST, proxy.port)
     record.line(f"client sends POST /order-place id {trace_id}, body {body!r}{', offers h2c' if TROUBLE else ''}")
     writer.write(head.encode() + body)
-    answer = await asyncio.wait_for(read_answer(reader), 4.0)
-    record.line(f"client got {answer.start} for id {trace_id}, body {answer.body!r}")
+    answer = None
+    try:
+        answer = await asyncio.wait_for(read_answer(reader), 4.0)
+        record.line(f"client got {answer.start} for id {trace_id}, body {answer.body!r}")
+    except (OSError, asyncio.IncompleteReadError) as problem:
+        record.line(f"client got no answer for id {trace_id}: {type(problem).__name__}")
     writer.close()
     return trace_id, body, answer
 
@@ -67,7 +72,9 @@
         ran = [request.body for backend in backends for request in backend.got if request.id == trace_id]
         if any(other != body for other in ran):
             broken.append(f"id {trace_id}: a backend ran {ran} and the client sent {body!r}")
-        if answer.status == 200 and answer.body != b"ordered: " + body:
+        if answer is None:
+            broken.append(f"id {trace_id}: no answer")
+        elif answer.status == 200 and answer.body != b"ordered: " + body:
             broken.append(f"id {trace_id}: the client was answered 200 {answer.body!r}")
     if not any(backend.got for backend in backends) and not broken and not TROUBLE:
         raise CannotRun("no order reached a backend")
--- a/review/standins.py
+++ b/review/standins.py
@@ -9,7 +9,6 @@
 import asyncio
 import json
 import os
-import shutil
 import signal
 import socket
 import struct
@@ -27,6 +26,7 @@
 CASE_LIMIT_S = 110.0
 READY_LIMIT_S = 30.0
 MEMORY_MB = 192  # the most that a proxy is given
+MB = 1 << 20  # bytes
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -325,12 +325,12 @@
         return self._process is not None and self._process.returncode is None
 
     def memory_mb(self) -> float:
-        """Memory that the process holds, in MB of 1,000,000 bytes; 0 once it has ended."""
+        """Memory that the process holds, in MB; 0 once it has ended."""
         try:
             lines = Path(f"/proc/{self.pid}/status").read_text(encoding="ascii").splitlines()
         except OSError:
             return 0.0
-        return next((int(line.split()[1]) * 1024 / 1e6 for line in lines if line.startswith("VmRSS:")), 0.0)
+        return next((int(line.split()[1]) * 1024 / MB for line in lines if line.startswith("VmRSS:")), 0.0)
 
     def log(self) -> str:
         return self._log.read_text(encoding="utf-8", errors="replace")
@@ -349,22 +349,29 @@
     return await asyncio.wait_for(case(record, folder), CASE_LIMIT_S)
 
 
-def main(case: Case, script: str) -> None:
-    """Plays the case and exits with its result."""
-    record = Record(Path(script).resolve().parent)
-    folder = Path(tempfile.mkdtemp())
+def play(case: Case, record: Record, folder: Path) -> int:
+    """Plays the case and returns its result."""
     record.line("with the disruption" if TROUBLE else "without the disruption")
-    status = 2
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the case still ends its processes
     try:
         broken = asyncio.run(_limited(case, record, folder))
-        for text in broken:
-            record.line(f"BROKEN: {text}")
-        status = 1 if broken else 0
-        record.line("the rule was broken" if broken else "the rule held")
     except Exception as problem:
         record.line(f"the case could not run: {type(problem).__name__}: {problem}\n{traceback.format_exc()}")
-    finally:
+        return 2
+    for text in broken:
+        record.line(f"BROKEN: {text}")
+    record.line("the rule was broken" if broken else "the rule held")
+    return 1 if broken else 0
+
+
+def main(case: Case, script: str) -> None:
+    """Plays the case in a temporary folder and exits with its result."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the case still ends its processes
+    status = 2
+    try:
+        record = Record(Path(script).resolve().parent)
+        with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as folder:
+            status = play(case, record, Path(folder))
         record.close()
-        shutil.rmtree(folder, ignore_errors=True)
+    except OSError as problem:
+        print(f"the case could not run: {problem}", file=sys.stderr)
     sys.exit(status)
