Proxy: a request that offers an upgrade keeps its body

Requests behind it in the same read were discarded, and admin calls with such an offer were refused with 400.

Cause: httptools takes each offer for accepted. It reports the message complete after its head and raises HttpParserUpgrade with the offset of what follows. The connection took the exception for "no HTTP follows" and started the request that had been reported complete. The parser alone shows it: no on_body, then the exception.

Change: proxy/request_parser.py wraps the parser for the clients' and the admin listener. The head of a message that offers an upgrade is parsed once more without its Upgrade field, so the body is parsed behind it by the ordinary path with its limits. CONNECT, which httptools treats alike, is refused as before.

--- a/proxy/control.py
+++ b/proxy/control.py
@@ -13,12 +13,12 @@
 from dataclasses import dataclass, field
 from typing import Any, cast
 
-import httptools
 import orjson
 
 from proxy.config import Address
 from proxy.lifecycle import LifeCycle
 from proxy.metrics import ProxyMetrics
+from proxy.request_parser import BadRequest, RequestHead, RequestParser, TunnelRequested
 
 MAX_OPEN = 8
 DESCRIPTORS = MAX_OPEN + 3  # reserved: also for the listener and for connections that are closing
@@ -116,8 +116,8 @@
     def __init__(self, endpoint: AdminEndpoint) -> None:
         self._endpoint = endpoint
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._target = bytearray()
+        self._parser = RequestParser(self)
+        self._head: RequestHead | None = None  # of the first call; no other is answered
         self._size = 0
         self._is_complete = False
         self._answered = False
@@ -133,27 +133,33 @@
             return
         self._size += len(data)
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._parser.feed(memoryview(data))
+        except (BadRequest, TunnelRequested):
             self._answer(400, "malformed")
             return
         if self._size > MAX_CALL_SIZE:
             self._answer(413, "too large")
-        elif self._is_complete:
-            self._run()
+        elif self._head is not None and self._is_complete:
+            self._run(self._head)
 
-    def on_url(self, url: bytes) -> None:
-        if not self._is_complete:
-            self._target += url
+    def message_began(self) -> None:
+        pass
 
-    def on_message_complete(self) -> None:
+    def head_received(self, head: RequestHead) -> None:
+        if self._head is None:
+            self._head = head
+
+    def body_received(self, data: bytes) -> None:
+        pass  # no call has a use for a body
+
+    def message_ended(self) -> None:
         self._is_complete = True
 
-    def _run(self) -> None:
-        call = self._endpoint.calls.get(bytes(self._target).split(b"?", 1)[0])
+    def _run(self, head: RequestHead) -> None:
+        call = self._endpoint.calls.get(head.target.split(b"?", 1)[0])
         if call is None:
             self._answer(404, "unknown path")
-        elif self._parser.get_method() != call.method:
+        elif head.method != call.method:
             self._answer(405, "wrong method", b"Allow: %s\r\n" % call.method)
         else:
             self._answer(*call.run())
@@ -182,7 +188,8 @@
     def connection_lost(self, problem: Exception | None) -> None:
         self._timer.cancel()
         self._endpoint.connection_closed(self)
-        del self._parser  # breaks a reference cycle with the connection
+        self._parser.close()
+        del self._parser
 
     def end(self) -> None:
         """Closes the connection; without an answer it is reset."""
--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -14,17 +14,22 @@
 from enum import Enum
 from typing import Protocol, cast
 
-import httptools
-
 from balancing.api import Effect
 from proxy.config import Address, NodeConfig, method_of
 from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, BodyBudget, RequestBodyStream
 from proxy.lifecycle import LifeCycle
+from proxy.request_parser import (
+    MAX_HEAD,
+    BadRequest,
+    Headers,
+    RequestHead,
+    RequestParser,
+    TunnelRequested,
+)
 from proxy.upstream import Descriptors, Source
 
 log = logging.getLogger(__name__)
 
-MAX_HEAD = 64 * 1024  # bytes of a request's head
 MAX_FRAMING_OVERHEAD = 8  # bytes on the wire per byte of a chunked body; small chunks have a high overhead
 BACKLOG = 1024
 ACCEPT_RETRY_S = 0.05  # pause after accept() failed, e.g. for lack of descriptors; closed connections free some
@@ -75,18 +80,6 @@
     }
 )
 
-OPTIONAL_WHITESPACE = b" \t"  # allowed around a header's value; httptools keeps it at the end
-
-Headers = list[tuple[bytes, bytes]]
-
-
-class BadRequest(Exception):
-    """A request that is answered with `status` and the reason as the body, without an attempt."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-
 
 @dataclass(slots=True)
 class ClientRequest:
@@ -229,13 +222,10 @@
     def __init__(self, front: Frontend) -> None:
         self._front = front
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._target = bytearray()
-        self._headers: Headers = []
+        self._parser = RequestParser(self)
         self._body: list[bytes] = []
-        self._head_size = self._body_size = 0
+        self._body_size = 0
         self._received = 0  # bytes on the wire of the request that is being received
-        self._in_head = False
         self._unparsed = 0  # bytes of an incomplete head, which the parser buffers without a limit
         self._in_request = False  # a request is partly received
         self._incoming: ClientRequest | None = None  # its head is complete, its body is not
@@ -277,20 +267,17 @@
         self._last_read_at = self._front.loop.time()
         if self._input is not Input.OPEN:
             return
-        was_in_head = self._in_head
+        was_in_head = self._parser.in_head
         try:
-            self._parser.feed_data(self._front.budget.read_buffer()[:nbytes])
-        except httptools.HttpParserUpgrade:
-            # Not an HttpParserError in httptools. What follows is not HTTP, so this request is the last one.
+            self._parser.feed(self._front.budget.read_buffer()[:nbytes])
+        except TunnelRequested:
             self._input = Input.UNWANTED
             if self._pipelined:
                 self._pipelined[-1].keep_alive = False
-        except httptools.HttpParserError as problem:
-            # httptools wraps the exceptions of callbacks.
-            cause = problem.__context__
-            self._reject_input(cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed"))
+        except BadRequest as problem:
+            self._reject_input(problem)
         else:
-            self._unparsed = self._unparsed + nbytes if was_in_head and self._in_head else 0
+            self._unparsed = self._unparsed + nbytes if was_in_head and self._parser.in_head else 0
             self._received += nbytes
             if self._unparsed > MAX_HEAD:
                 self._reject_input(BadRequest(431, "the head is too large"))
@@ -374,9 +361,9 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._front.closed(self)
-        # The parser and the connection form a reference cycle, which would keep bodies until a garbage collection.
-        self._headers, self._body = [], []
+        self._body = []
         self._incoming = None
+        self._parser.close()
         del self._parser
 
     # --- client disconnects ---
@@ -451,40 +438,29 @@
         poll.register(self._transport.get_extra_info("socket").fileno(), events)
         return next((seen for _, seen in poll.poll(0)), 0)
 
-    # --- httptools callbacks ---
+    # --- parts of requests, called by the parser ---
 
-    def on_message_begin(self) -> None:
-        self._target.clear()
-        self._headers, self._body = [], []
-        self._head_size = self._body_size = self._received = 0
+    def message_began(self) -> None:
+        self._body = []
+        self._body_size = self._received = 0
         self._incoming = None
-        self._in_request = self._in_head = True
+        self._in_request = True
         if not self.is_new:
             self._request_began_at = self._front.loop.time()
 
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-        self._count_head(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._count_head(len(name) + len(value or b""))
-        if self._in_head:  # trailers after the body are ignored
-            self._headers.append((name, (value or b"").strip(OPTIONAL_WHITESPACE)))
-
-    def on_headers_complete(self) -> None:
-        self._in_head = False
+    def head_received(self, head: RequestHead) -> None:
         self._head_ended_at = self._front.loop.time()
         request = self._incoming = ClientRequest(
-            self._parser.get_method(),
-            origin_form(bytes(self._target)),
-            self._headers,
+            head.method,
+            origin_form(head.target),
+            head.headers,
             b"",
-            self._parser.should_keep_alive(),
+            head.keep_alive,
             0.0,
-            is_http10=self._parser.get_http_version() == "1.0",
+            is_http10=head.is_http10,
         )
         length, expects = 0, False
-        for name, value in self._headers:
+        for name, value in head.headers:
             match name.lower():
                 case b"content-length":
                     length = int(value)
@@ -507,7 +483,7 @@
         except BadRequest as problem:
             request.error = problem
 
-    def on_body(self, body: bytes) -> None:
+    def body_received(self, body: bytes) -> None:
         request = self._incoming
         assert request is not None
         self._body_size += len(body)
@@ -527,7 +503,7 @@
         """Switches a body that is too long to buffer to streaming: its request is handled before it is complete."""
         if request.error is not None or request.is_up_check:
             raise request.error or BadRequest(413, "no body is wanted")
-        lengths = (int(value) for name, value in self._headers if name.lower() == b"content-length")
+        lengths = (int(value) for name, value in request.headers if name.lower() == b"content-length")
         length = next(lengths, None)
         body, self._body = self._body, []
         self._adjust_held(-self._body_size)
@@ -535,7 +511,7 @@
         self._front.budget.streaming += 1
         self._pipelined.append(request)
 
-    def on_message_complete(self) -> None:
+    def message_ended(self) -> None:
         self._in_request = self.is_new = False
         self._continue_pending = False
         request, self._incoming = self._incoming, None
@@ -551,11 +527,6 @@
             self._front.handler.body_ended(self)
         request.body_stream.end()
 
-    def _count_head(self, size: int) -> None:
-        self._head_size += size
-        if self._head_size > MAX_HEAD:
-            raise BadRequest(431, "the head is too large")
-
     def _adjust_held(self, size: int) -> None:
         self._held += size
         self._front.budget.held += size
@@ -783,7 +754,7 @@
 
     def is_stalled_in_head(self, since: float) -> bool:
         """The head is incomplete and nothing has been received since the given time."""
-        return self._in_head and self._last_read_at <= since and self.request is None and not self._pipelined
+        return self._parser.in_head and self._last_read_at <= since and self.request is None and not self._pipelined
 
     def shut_down(self, linger_s: float = LINGER_S) -> None:
         """Closes an idle connection gracefully.
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -25,12 +25,12 @@
     HOP_BY_HOP_HEADERS,
     ClientConnection,
     ClientRequest,
-    Headers,
     retry_after_headers,
 )
 from proxy.lifecycle import LifeCycle
 from proxy.listfile import read_list
 from proxy.metrics import ProxyMetrics
+from proxy.request_parser import Headers
 from proxy.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source, Start
 
 log = logging.getLogger(__name__)
