Proxy: release rejected requests and discovery calls without the garbage collector

Cause, the first of two: a rejected request kept its BadRequest, whose traceback holds the frames that it passed, and these the request and the exception itself. Such cycles wait for the garbage collector, which runs rarely (thresholds 20,000, 20 and 50, start-up frozen). Calls to discovery left their parser in a cycle too, with what they had received of a list.

Change: what a request keeps is a plain Rejection, and BadRequest is not kept or raised from a local variable. A watch releases its parser when its connection is lost or never came up, as connections to backends do.

--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -22,6 +22,7 @@
     MAX_HEAD,
     BadRequest,
     Headers,
+    Rejection,
     RequestHead,
     RequestParser,
     TunnelRequested,
@@ -91,7 +92,7 @@
     body: bytes
     keep_alive: bool
     arrived_at: float  # time.monotonic() in seconds
-    error: BadRequest | None = None
+    rejection: Rejection | None = None  # set for a request that is not handled
     body_stream: RequestBodyStream | None = None  # of a long body, which may be incomplete
     is_http10: bool = False  # the answer must not be chunked
     trace_id: str = ""
@@ -197,15 +198,15 @@
         known = [self._classes.get(name)]
         if time.monotonic() < self._previous_until:
             known.append(self._previous.get(name))
-        problem = BadRequest(404, "unknown class")
+        rejection = Rejection(404, "unknown class")
         for index, method, effect in filter(None, known):
             if request.method != method:
-                problem = BadRequest(405, "the class has another method")
+                rejection = Rejection(405, "the class has another method")
             elif effect is Effect.KEYED and not has_key:
-                problem = BadRequest(400, "Idempotency-Key is missing")
+                rejection = Rejection(400, "Idempotency-Key is missing")
             else:
                 return index
-        raise problem
+        raise BadRequest(*rejection)
 
 
 class Input(Enum):
@@ -275,16 +276,16 @@
             if self._pipelined:
                 self._pipelined[-1].keep_alive = False
         except BadRequest as problem:
-            self._reject_input(problem)
+            self._reject_input(problem.rejection)
         else:
             self._unparsed = self._unparsed + nbytes if was_in_head and self._parser.in_head else 0
             self._received += nbytes
             if self._unparsed > MAX_HEAD:
-                self._reject_input(BadRequest(431, "the head is too large"))
+                self._reject_input(Rejection(431, "the head is too large"))
             elif self._incoming is not None and self._received > MAX_HEAD + MAX_FRAMING_OVERHEAD * max(
                 self._body_size, MAX_BUFFERED_BODY
             ):
-                self._reject_input(BadRequest(400, "the chunks are too small"))
+                self._reject_input(Rejection(400, "the chunks are too small"))
         if not self._in_request:
             if not self.is_new:
                 self._stop_read_timer()
@@ -309,7 +310,7 @@
         elif left > 0.0:
             self._read_timer = self._front.loop.call_later(left, self._check_read_progress)
         elif self._in_request:
-            self._reject_input(BadRequest(408, "the request did not come in time"))
+            self._reject_input(Rejection(408, "the request did not come in time"))
             self._process_next()
         elif self.is_idle():
             self.shut_down(SILENT_LINGER_S)
@@ -343,7 +344,7 @@
             self._drop_requests()
             return False
         if self._input is Input.OPEN and self._in_request:
-            self._reject_input(BadRequest(400, "the request breaks off"))
+            self._reject_input(Rejection(400, "the request breaks off"))
         self._input = Input.ENDED
         self._reading_paused = False
         self._process_next()
@@ -472,16 +473,16 @@
             request.is_up_check = True
         else:
             self._read_headers(request)
-            if request.error is not None and (expects or length > MAX_BUFFERED_BODY):
-                raise request.error  # refused before the body is received
+            if request.rejection is not None and (expects or length > MAX_BUFFERED_BODY):
+                raise BadRequest(*request.rejection)  # refused before the body is received
         self._continue_pending = expects
 
     def _read_headers(self, request: ClientRequest) -> None:
-        request.error = None
+        request.rejection = None
         try:
             self._front.reader.read(request)
         except BadRequest as problem:
-            request.error = problem
+            request.rejection = problem.rejection
 
     def body_received(self, body: bytes) -> None:
         request = self._incoming
@@ -501,8 +502,8 @@
 
     def _begin_streaming(self, request: ClientRequest) -> None:
         """Switches a body that is too long to buffer to streaming: its request is handled before it is complete."""
-        if request.error is not None or request.is_up_check:
-            raise request.error or BadRequest(413, "no body is wanted")
+        if request.rejection is not None or request.is_up_check:
+            raise BadRequest(*(request.rejection or (413, "no body is wanted")))
         lengths = (int(value) for name, value in request.headers if name.lower() == b"content-length")
         length = next(lengths, None)
         body, self._body = self._body, []
@@ -539,9 +540,9 @@
             request = self.request = self._pipelined.popleft()
             if request.read_by is not None and request.read_by is not self._front.reader:
                 self._read_headers(request)  # the settings were reloaded since
-            if request.error is not None:
-                headers = self._front.reader.busy_headers if request.error.status == 503 else []
-                self.answer(request.error.status, headers, str(request.error).encode())
+            if request.rejection is not None:
+                status, reason = request.rejection
+                self.answer(status, self._front.reader.busy_headers if status == 503 else [], reason.encode())
             elif request.is_up_check:
                 self.answer(200 if self._front.life.is_up() else 503, [], b"")
             elif self._front.is_over_limit():
@@ -673,7 +674,7 @@
         else:
             self._front.mark_idle(self)
 
-    def _reject_input(self, problem: BadRequest) -> None:
+    def _reject_input(self, rejection: Rejection) -> None:
         """Discards all further input and queues the error answer behind the requests received before it."""
         self._input = Input.UNWANTED
         self._in_request = self.is_new = self._continue_pending = False
@@ -691,7 +692,7 @@
         else:
             self._adjust_held(-sum(map(len, self._body)))
             self._body = []
-        self._pipelined.append(ClientRequest(b"", b"", [], b"", False, time.monotonic(), error=problem))
+        self._pipelined.append(ClientRequest(b"", b"", [], b"", False, time.monotonic(), rejection=rejection))
 
     def _begin_linger(self, linger_s: float) -> None:
         """Half-closes the connection and discards input for up to `linger_s`.
--- a/proxy/request_parser.py
+++ b/proxy/request_parser.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import httptools
 
@@ -17,12 +17,23 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class Rejection(NamedTuple):
+    """The answer to a request that is not tried: the status, and the reason as the body."""
+
+    status: int
+    reason: str
+
+
 class BadRequest(Exception):
-    """A request that is answered with `status` and the reason as the body, without an attempt."""
+    """Ends the processing of a request that is rejected.
+
+    It must not be kept, nor raised from a local variable: its traceback holds the frames that it passed, and with a
+    reference back to it they are released only by the garbage collector.
+    """
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
-        self.status = status
+        self.rejection = Rejection(status, reason)
 
 
 class TunnelRequested(Exception):
--- a/proxy/watch.py
+++ b/proxy/watch.py
@@ -131,7 +131,7 @@
         self.was_closed = self.was_refused = False  # how it ended: closed properly by discovery; with an error answer
         self._timeout_s, self._silence_timeout_s = first_line_timeout_s, silence_timeout_s
         self._silent = False  # silence was reported and no data has been received since
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)  # None after the end
         self._splitter = ObjectSplitter()
         self._is_reading = False
         self._transport: asyncio.Transport | None = None
@@ -171,6 +171,7 @@
             self._transport.write(self._head)
 
     def data_received(self, data: bytes) -> None:
+        assert self._parser is not None
         self._is_reading = True
         try:
             self._parser.feed_data(data)
@@ -184,9 +185,13 @@
             self.life = value.decode("ascii", "replace")
 
     def on_body(self, body: bytes) -> None:
-        if not self._ended and self._parser.get_status_code() == 200:
+        if not self._ended and self._status() == 200:
             self._take(body)
 
+    def _status(self) -> int:
+        assert self._parser is not None
+        return int(self._parser.get_status_code())
+
     def _take(self, body: bytes) -> None:
         self._on_bytes_received()
         try:
@@ -208,7 +213,7 @@
         self._owner.changed(self, message, *self._owner.reader.read(message))
 
     def on_message_complete(self) -> None:
-        status = self._parser.get_status_code()
+        status = self._status()
         if status >= 200:
             self.was_closed = status == 200
             self.was_refused = not self.was_closed
@@ -220,6 +225,7 @@
 
     def connection_lost(self, problem: Exception | None) -> None:
         self.end(f"connection lost: {problem}")
+        self._release_parser()
 
     def has_unread(self) -> bool:
         """Whether data has been received that is not processed yet, or is just being processed."""
@@ -270,6 +276,11 @@
             self._transport.abort()
         elif self._connect_task is not None:
             self._connect_task.cancel()
+            self._release_parser()
         self._owner.record_call_end(self, reason)
         if notify_owner:
             self._owner.ended(self, reason)
+
+    def _release_parser(self) -> None:
+        """Breaks the reference cycle with the parser, which would delay the release of what is held of a list."""
+        self._parser = None
