Proxy: hold few requests of a burst, and serve other clients between them

Cause, the second of two: a read of 64 KiB was parsed to its end, and MAX_PIPELINED paused only the next read.

Change: at most one message ends in a call of the parser. Once MAX_PIPELINED requests wait, what was received behind them stays as bytes, counts as a streamed body (so that each connection reads less at a time), and is parsed in later turns. Arrival is the time of receipt, so the later ones get no more time than before.

--- a/proxy/control.py
+++ b/proxy/control.py
@@ -133,7 +133,9 @@
             return
         self._size += len(data)
         try:
-            self._parser.feed(memoryview(data))
+            position = 0
+            while position < len(data):
+                position = self._parser.feed(data, position)
         except (BadRequest, TunnelRequested):
             self._answer(400, "malformed")
             return
--- a/proxy/flow.py
+++ b/proxy/flow.py
@@ -21,7 +21,7 @@
 
     def __init__(self, memory_mb: float) -> None:
         self.total = int(memory_mb * MB * BODY_MEMORY_SHARE)
-        self.streaming = 0  # number of bodies that are being streamed
+        self.streaming = 0  # number of bodies that are being streamed, and of connections with unparsed data
         self.held = 0  # bytes of request bodies that are buffered completely
 
     def chunk_size(self) -> int:
--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -35,7 +35,7 @@
 BACKLOG = 1024
 ACCEPT_RETRY_S = 0.05  # pause after accept() failed, e.g. for lack of descriptors; closed connections free some
 MIN_LINGER_S = 0.2  # a lingering connection (answered, input discarded) may be closed for a new one after this time
-MAX_PIPELINED = 4  # requests parsed ahead on one connection before reading from it pauses
+MAX_PIPELINED = 4  # requests parsed ahead on one connection; what is received behind them is parsed later
 # Limit from the first byte of a request to the end of its head, and from accepting a connection to the end of its
 # first head: a peer that sends no valid request must get an error or a close within 3 s. A body gets at least as long.
 READ_TIMEOUT_S = 2.5
@@ -227,7 +227,10 @@
         self._body: list[bytes] = []
         self._body_size = 0
         self._received = 0  # bytes on the wire of the request that is being received
-        self._unparsed = 0  # bytes of an incomplete head, which the parser buffers without a limit
+        self._unparsed = b""  # received behind MAX_PIPELINED requests; the connection is not read meanwhile
+        self._is_parse_scheduled = False
+        self._received_at = 0.0  # when the last data came; time.monotonic() in seconds
+        self._incomplete_head_size = 0  # bytes, which the parser buffers without a limit
         self._in_request = False  # a request is partly received
         self._incoming: ClientRequest | None = None  # its head is complete, its body is not
         self._continue_pending = False
@@ -268,30 +271,57 @@
         self._last_read_at = self._front.loop.time()
         if self._input is not Input.OPEN:
             return
+        self._received_at = time.monotonic()
+        self._set_unparsed(self._unparsed + self._front.budget.read_buffer()[:nbytes])
+        self._parse()
+        self._process_next()
+
+    def _parse(self) -> None:
+        """Parses what was received, until MAX_PIPELINED requests wait to be answered."""
+        data, position = self._unparsed, 0
+        while position < len(data) and len(self._pipelined) < MAX_PIPELINED and self._input is Input.OPEN:
+            position = self._parse_message(data, position)
+        self._set_unparsed(data[position:] if self._input is Input.OPEN else b"")
+        if not self._in_request:
+            if not self.is_new:
+                self._stop_read_timer()
+        elif self._read_timer is None:
+            self._read_timer = self._front.loop.call_later(READ_TIMEOUT_S, self._check_read_progress)
+
+    def _parse_message(self, data: bytes, start: int) -> int:
+        """Parses the data from `start` on to the end of one message at most. Returns the index of what is left."""
         was_in_head = self._parser.in_head
         try:
-            self._parser.feed(self._front.budget.read_buffer()[:nbytes])
+            position = self._parser.feed(data, start)
         except TunnelRequested:
             self._input = Input.UNWANTED
             if self._pipelined:
                 self._pipelined[-1].keep_alive = False
+            return len(data)
         except BadRequest as problem:
             self._reject_input(problem.rejection)
-        else:
-            self._unparsed = self._unparsed + nbytes if was_in_head and self._parser.in_head else 0
-            self._received += nbytes
-            if self._unparsed > MAX_HEAD:
-                self._reject_input(Rejection(431, "the head is too large"))
-            elif self._incoming is not None and self._received > MAX_HEAD + MAX_FRAMING_OVERHEAD * max(
-                self._body_size, MAX_BUFFERED_BODY
-            ):
-                self._reject_input(Rejection(400, "the chunks are too small"))
-        if not self._in_request:
-            if not self.is_new:
-                self._stop_read_timer()
-        elif self._read_timer is None:
-            self._read_timer = self._front.loop.call_later(READ_TIMEOUT_S, self._check_read_progress)
-        self._process_next()
+            return len(data)
+        size = position - start
+        self._incomplete_head_size = self._incomplete_head_size + size if was_in_head and self._parser.in_head else 0
+        self._received += size
+        if self._incomplete_head_size > MAX_HEAD:
+            self._reject_input(Rejection(431, "the head is too large"))
+        elif self._incoming is not None and self._received > MAX_HEAD + MAX_FRAMING_OVERHEAD * max(
+            self._body_size, MAX_BUFFERED_BODY
+        ):
+            self._reject_input(Rejection(400, "the chunks are too small"))
+        return position
+
+    def _set_unparsed(self, data: bytes) -> None:
+        """Keeps received data. Like a streamed body, it reduces what is read from each connection at a time."""
+        self._front.budget.streaming += bool(data) - bool(self._unparsed)
+        self._unparsed = data
+
+    def _parse_more(self) -> None:
+        self._is_parse_scheduled = False
+        if not self._is_closing():
+            self._parse()
+            self._process_next()
 
     def _read_deadline(self) -> float:
         """Time-out of the request that is being received, on the loop's clock."""
@@ -385,7 +415,11 @@
         return False
 
     def _has_unanswered(self) -> bool:
-        return self.request is not None or bool(self._pipelined)
+        return self.request is not None or self._has_waiting()
+
+    def _has_waiting(self) -> bool:
+        """Something was received behind the current request and is not handled yet."""
+        return bool(self._pipelined or self._unparsed)
 
     def _probe_for_reset(self) -> None:
         """Tells a close from a half-close: both send a FIN, but only a closed socket answers data with a reset.
@@ -517,7 +551,7 @@
         self._continue_pending = False
         request, self._incoming = self._incoming, None
         assert request is not None
-        request.arrived_at = time.monotonic()
+        request.arrived_at = self._received_at
         if request.body_stream is None:
             request.body = b"".join(self._body)
             self._body = []
@@ -535,7 +569,11 @@
     # --- requests in order ---
 
     def _process_next(self) -> None:
-        """Starts the next pipelined request once no other is being answered."""
+        """Starts the next pipelined request once no other is being answered.
+
+        What waits to be parsed is left to a later turn of the event loop, so that one client that sends many requests
+        cannot keep the others waiting.
+        """
         while self.request is None and self._pipelined and not self._is_writing_paused and not self._is_closing():
             request = self.request = self._pipelined.popleft()
             if request.read_by is not None and request.read_by is not self._front.reader:
@@ -549,12 +587,18 @@
                 self.answer(503, self._front.reader.busy_headers, b"")
             else:
                 self._front.handler.handle_request(self, request)
-        if self._continue_pending and self.request is None and not self._pipelined and not self._is_closing():
+        if self._unparsed and self._can_parse() and not self._is_parse_scheduled:
+            self._is_parse_scheduled = True
+            self._front.loop.call_soon(self._parse_more)
+        if self._continue_pending and self.request is None and not self._has_waiting() and not self._is_closing():
             self._continue_pending = False
             if self._transport is not None:
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._update_reading()
 
+    def _can_parse(self) -> bool:
+        return len(self._pipelined) < MAX_PIPELINED and not self._is_writing_paused and not self._is_closing()
+
     def _update_reading(self) -> None:
         """Pauses reading while input could be neither buffered nor forwarded, and resumes it after that."""
         if self._transport is None or self._is_closing() or self._input is Input.ENDED:
@@ -562,6 +606,7 @@
         incoming = self._incoming.body_stream if self._incoming is not None else None
         full = (
             len(self._pipelined) >= MAX_PIPELINED
+            or bool(self._unparsed)
             or (self._is_writing_paused and self._source is None)
             or (incoming is not None and incoming.is_full())
         )
@@ -650,7 +695,7 @@
         # While the frontend is closing, pipelined requests are still answered first. The rest of a body that is not
         # needed any more precedes the next request, so such a connection is closed.
         is_last = self._front.closing or self._input is Input.ENDED
-        return request.keep_alive and not request.is_body_incomplete() and not (is_last and not self._pipelined)
+        return request.keep_alive and not request.is_body_incomplete() and not (is_last and not self._has_waiting())
 
     @staticmethod
     def _head(status: int, headers: Headers, framing: bytes, keep: bool, is_http10: bool) -> bytes:
@@ -669,7 +714,7 @@
             self.close()  # no lingering: without further input the close causes no reset
         elif not keep:
             self._begin_linger(MAX_LINGER_S if is_body_incomplete else LINGER_S)
-        elif self._pipelined or self._continue_pending:
+        elif self._has_waiting() or self._continue_pending:
             self._front.loop.call_soon(self._process_next)
         else:
             self._front.mark_idle(self)
@@ -678,6 +723,7 @@
         """Discards all further input and queues the error answer behind the requests received before it."""
         self._input = Input.UNWANTED
         self._in_request = self.is_new = self._continue_pending = False
+        self._set_unparsed(b"")
         incoming, self._incoming = self._incoming, None
         if incoming is not None and incoming.body_stream is not None:
             if incoming is not self.request:
@@ -724,6 +770,7 @@
             if request.body_stream is not None:
                 self._front.budget.streaming -= 1
         self._pipelined.clear()
+        self._set_unparsed(b"")
         self._adjust_held(-self._held)
 
     def _is_closing(self) -> bool:
@@ -746,16 +793,16 @@
 
     def is_idle(self) -> bool:
         """No part of a request has been received, and the socket has no unread bytes."""
-        if self.request is not None or self._pipelined or self._in_request or self._is_closing():
+        if self._has_unanswered() or self._in_request or self._is_closing():
             return False
         return not self._poll(select.POLLIN)
 
     def is_receiving(self) -> bool:
-        return self._in_request and not self._is_closing()
+        return (self._in_request or bool(self._unparsed)) and not self._is_closing()
 
     def is_stalled_in_head(self, since: float) -> bool:
         """The head is incomplete and nothing has been received since the given time."""
-        return self._parser.in_head and self._last_read_at <= since and self.request is None and not self._pipelined
+        return self._parser.in_head and self._last_read_at <= since and not self._has_unanswered()
 
     def shut_down(self, linger_s: float = LINGER_S) -> None:
         """Closes an idle connection gracefully.
--- a/proxy/request_parser.py
+++ b/proxy/request_parser.py
@@ -12,6 +12,7 @@
 import httptools
 
 MAX_HEAD = 64 * 1024  # bytes of a request's head
+END_OF_HEAD = b"\r\n\r\n"  # also ends each chunked body
 OPTIONAL_WHITESPACE = b" \t"  # allowed around a header's value; httptools keeps it at the end
 
 Headers = list[tuple[bytes, bytes]]
@@ -80,31 +81,52 @@
         self._headers: Headers = []
         self._head_size = 0
         self._is_replaying = False
+        self._body_left = 0  # bytes of the current body that are missing, if the head states its length
+        self._tail = b""  # the last bytes of heads and chunks that were parsed: the end of a head may come in parts
         self._parser = httptools.HttpRequestParser(self)
 
-    def feed(self, data: memoryview) -> None:
-        """Parses the data and calls the receiver. Raises BadRequest or TunnelRequested; no data may follow then."""
+    def feed(self, data: bytes, start: int = 0) -> int:
+        """Parses the data from `start` on and calls the receiver. Returns the index of the first byte not parsed.
+
+        At most one message ends in a call, so that the caller can leave the others until it has room for them. Raises
+        BadRequest or TunnelRequested; no data may follow then.
+        """
+        end = self._end_of_part(data, start)
         try:
-            while data:
-                data = data[self._feed_to_offer(data) :]
+            self._feed_part(memoryview(data)[start:end])
         except httptools.HttpParserError as problem:
             raise _bad_request_of(problem) from None
+        return end
 
     def close(self) -> None:
         """Breaks the reference cycles with httptools and the receiver, which would delay the release of a body."""
         del self._parser, self._receiver, self.on_body
 
-    def _feed_to_offer(self, data: memoryview) -> int:
-        """Parses up to the end of the next head that offers another protocol. Returns the number of bytes."""
+    def _end_of_part(self, data: bytes, start: int) -> int:
+        """The index at which the current message may end: the end of its body, or else the next blank line."""
+        if self._body_left:
+            end = min(start + self._body_left, len(data))
+            self._body_left -= end - start
+            return end
+        overlap = len(END_OF_HEAD) - 1
+        found = (self._tail + data[start : start + overlap]).find(END_OF_HEAD)
+        if found >= 0:
+            end = start + found + len(END_OF_HEAD) - len(self._tail)
+        else:
+            found = data.find(END_OF_HEAD, start)
+            end = found + len(END_OF_HEAD) if found >= 0 else len(data)
+        self._tail = (self._tail + data[max(end - overlap, start) : end])[-overlap:]
+        return end
+
+    def _feed_part(self, part: memoryview) -> None:
         try:
-            self._parser.feed_data(data)
-            return len(data)
-        except httptools.HttpParserUpgrade as upgrade:
-            end_of_head = int(upgrade.args[0])
+            self._parser.feed_data(part)
+            return
+        except httptools.HttpParserUpgrade:
+            pass  # handled outside, so that the exceptions of callbacks keep their context
         if not self._is_offer():
             raise TunnelRequested
         self._replay_head()
-        return end_of_head
 
     def _is_offer(self) -> bool:
         """The current message offers another protocol; a CONNECT, which httptools treats alike, does not."""
@@ -145,6 +167,7 @@
         if self._is_offer():
             return
         self.in_head = False
+        self._body_left = next((int(value) for name, value in self._headers if name.lower() == b"content-length"), 0)
         self._receiver.head_received(
             RequestHead(
                 self._parser.get_method(),
