Lab: draw each port once, from outside the range of the clients' sockets

Change: mastlift/lab/addresses.py draws a port at most once in a process, several at once with all sockets bound, and from below the system's range for clients, so that no connection of a test takes a port between its draw and the start of its process. A process whose address was taken by another one says so in the test's failure.

Processes are still told a port before they start: members of a group have to know each other's.

--- a/mastlift/lab/benches/config.py
+++ b/mastlift/lab/benches/config.py
@@ -15,10 +15,11 @@
 
 from mastlift.configuration import operations
 from mastlift.keeper.client import KeeperClient, ask_each
+from mastlift.lab.addresses import free_address, free_addresses
 from mastlift.lab.benches import Figures
 from mastlift.lab.configfleet import Machine, content
 from mastlift.lab.plots import Report
-from mastlift.lab.processes import Child, cpu_s, free_address, keeper, keeper_settings, started
+from mastlift.lab.processes import Child, cpu_s, keeper, keeper_settings, started
 
 HOLLOW, COUNTED, REAL = "hollow", "counted", "real"  # services, so that the parts don't see each other's agents
 OF_A_PROCESS = 225  # hollow agents that share one
@@ -93,7 +94,7 @@
 
 @contextlib.asynccontextmanager
 async def keepers(folder: Path) -> AsyncIterator[Group]:
-    group = Group(folder, {name: free_address() for name in "abc"})
+    group = Group(folder, dict(zip("abc", free_addresses(3), strict=True)))
     async with group.stack:
         await asyncio.gather(*(group.start(name, "--new-group") for name in group.addresses))
         await group.leader()
--- a/mastlift/lab/benches/consensus.py
+++ b/mastlift/lab/benches/consensus.py
@@ -20,12 +20,13 @@
 from mastlift.consensus.messages import Members
 from mastlift.duty.holder import Duty
 from mastlift.keeper.client import KeeperClient
+from mastlift.lab.addresses import free_addresses
 from mastlift.lab.benches import Figures
 from mastlift.lab.benches.load import rate
 from mastlift.lab.chaos import ChaosGroup, running
 from mastlift.lab.groupsim import Faults, Group
 from mastlift.lab.plots import Report
-from mastlift.lab.processes import cpu_s, free_address
+from mastlift.lab.processes import cpu_s
 
 CLIENTS = 256
 
@@ -177,7 +178,7 @@
 
 async def _storm(clients: int, seconds: float) -> Figures:
     """Calls per second of so many clients whose keepers are all gone, once their pauses have grown."""
-    gone = [free_address() for _ in range(3)]
+    gone = free_addresses(3)
     async with contextlib.AsyncExitStack() as stack:
         each = [await stack.enter_async_context(KeeperClient(gone, 60.0, seed)) for seed in range(clients)]
         tasks = [asyncio.create_task(client.put("k", b"")) for client in each]
--- a/mastlift/lab/benches/discovery.py
+++ b/mastlift/lab/benches/discovery.py
@@ -29,10 +29,11 @@
 from mastlift.keeper.config import KeeperSection, Settings
 from mastlift.keeper.renewals import LeaseRenewal
 from mastlift.keeper.service import Service
+from mastlift.lab.addresses import free_address, free_addresses
 from mastlift.lab.benches import Figures
 from mastlift.lab.chaos import running
 from mastlift.lab.plots import Report
-from mastlift.lab.processes import ROOT, cpu_s, free_address, keeper, keeper_settings
+from mastlift.lab.processes import ROOT, cpu_s, keeper, keeper_settings
 from mastlift.metrics import Metrics
 from mastlift.store import commands as c
 from mastlift.store.machine import LIST_BASE_KEY, Store
@@ -268,7 +269,7 @@
 
 async def _herd(clients: int, servers: int) -> Figures:
     """Seconds from the kill of one of three keepers until all clients have a watch again."""
-    at = {name: free_address() for name in "abc"}
+    at = dict(zip("abc", free_addresses(3), strict=True))
 
     def each(name: str) -> dict[str, Any]:
         return {"discovery": {"whole_per_s": 2000, "whole_at_once": 4000}, "discovery.tiers": {TIER: f'"{at[name]}"'}}
--- a/mastlift/lab/benches/duty.py
+++ b/mastlift/lab/benches/duty.py
@@ -15,9 +15,10 @@
 from contextlib import AsyncExitStack
 from pathlib import Path
 
+from mastlift.lab.addresses import free_address
 from mastlift.lab.benches import Figures
 from mastlift.lab.plots import Report
-from mastlift.lab.processes import Child, cpu_s, free_address, keeper, keeper_settings, started
+from mastlift.lab.processes import Child, cpu_s, keeper, keeper_settings, started
 
 TTL_S = 2.0
 COMMAND = ("sleep", "3600")
--- a/mastlift/lab/capacity/honesty.py
+++ b/mastlift/lab/capacity/honesty.py
@@ -14,6 +14,7 @@
 from statistics import fmean
 
 from mastlift.keeper.client import KeeperClient
+from mastlift.lab.addresses import free_address
 from mastlift.lab.capacity.counting import Traffic, total
 from mastlift.lab.capacity.group import KeeperGroup, keeper_group
 from mastlift.lab.capacity.hollow import AddProxies, Begin, HollowServer, Register
@@ -21,7 +22,7 @@
 from mastlift.lab.capacity.usage import rss_mb
 from mastlift.lab.capacity.workers import Worker, worker
 from mastlift.lab.fleet import backend, proxy
-from mastlift.lab.processes import Child, cpu_s, free_address, started
+from mastlift.lab.processes import Child, cpu_s, started
 
 TTL_S = 1.0  # short, so that a short window holds many renewals
 CHANGES_PER_S = 20.0
--- a/mastlift/lab/chaos.py
+++ b/mastlift/lab/chaos.py
@@ -19,8 +19,9 @@
 from typing import Any
 
 from mastlift.keeper.client import Unreachable, ask_each
+from mastlift.lab.addresses import free_address, free_addresses
 from mastlift.lab.kill import Verdict, compare
-from mastlift.lab.processes import Child, free_address, keeper, keeper_settings, started
+from mastlift.lab.processes import Child, keeper, keeper_settings, started
 from mastlift.lab.relay import Relay, relay
 
 
@@ -108,7 +109,7 @@
 ) -> Any:
     """A group of keepers that is ready; `each` gives further tables of one's settings."""
     async with contextlib.AsyncExitStack() as stack:
-        addresses = {name: free_address() for name in names}
+        addresses = dict(zip(names, free_addresses(len(names)), strict=True))
         places = {}
         for name in names:
             listen = free_address()
--- a/mastlift/lab/configfleet.py
+++ b/mastlift/lab/configfleet.py
@@ -20,8 +20,9 @@
 from mastlift.configuration.endpoint import ProxyEndpoint, ProxyUnavailable
 from mastlift.configuration.versions import VersionId, digest_and_version
 from mastlift.keeper.client import KeeperClient
+from mastlift.lab.addresses import free_address
 from mastlift.lab.fleet import SETTINGS
-from mastlift.lab.processes import Child, free_address, started
+from mastlift.lab.processes import Child, started
 from mastlift.settings import address
 
 SERVICE = "pay"
--- a/mastlift/lab/fleet.py
+++ b/mastlift/lab/fleet.py
@@ -12,7 +12,8 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
-from mastlift.lab.processes import Child, free_address, started
+from mastlift.lab.addresses import free_address
+from mastlift.lab.processes import Child, started
 
 LANE = {
     "name": "read",
--- a/mastlift/lab/kill.py
+++ b/mastlift/lab/kill.py
@@ -19,8 +19,9 @@
 from mastlift.durable.check import check_folder
 from mastlift.durable.disk import RealDisk
 from mastlift.keeper.client import KeeperClient, Refused, Unreachable
+from mastlift.lab.addresses import free_address
 from mastlift.lab.fleet import served_meanwhile
-from mastlift.lab.processes import free_address, keeper, keeper_settings, started
+from mastlift.lab.processes import keeper, keeper_settings, started
 
 COMMON = 4
 
--- a/mastlift/lab/listfleet.py
+++ b/mastlift/lab/listfleet.py
@@ -23,9 +23,9 @@
 from mastlift.discovery.lists import ListUpdate, Phase, ServerRecord
 from mastlift.discovery.registration import Registration, ServerListing
 from mastlift.keeper.client import KeeperClient
+from mastlift.lab.addresses import free_address, free_addresses
 from mastlift.lab.chaos import ChaosGroup, running
 from mastlift.lab.fleet import Client, proxy
-from mastlift.lab.processes import free_address
 from mastlift.lab.relay import Heard, Relay, relay
 
 TIER = "front"
@@ -196,7 +196,7 @@
     folder: Path, proxies: int = 6, backends: int = 30, per_s: float = 15.0, ttl_ms: int = 3000, **discovery: float
 ) -> AsyncIterator[ListFleet]:
     """Three keepers, so many proxies and backends, and clients at each proxy, all running."""
-    at_keeper = {name: free_address() for name in "abc"}
+    at_keeper = dict(zip("abc", free_addresses(3), strict=True))
 
     def each(name: str) -> dict[str, Any]:
         return {"discovery": {"cut_off_s": 1.0, **discovery}, "discovery.tiers": {TIER: f'"{at_keeper[name]}"'}}
--- a/mastlift/lab/movedlist.py
+++ b/mastlift/lab/movedlist.py
@@ -19,8 +19,9 @@
 from pathlib import Path
 from typing import Any
 
+from mastlift.lab.addresses import free_address
 from mastlift.lab.fleet import SETTINGS, Client
-from mastlift.lab.processes import Child, free_address, started
+from mastlift.lab.processes import Child, started
 
 GRACE_S = 0.25 + 0.05  # of the terms: after a change counts as told, and what sockets may add
 ARRIVAL_S = 0.1  # from a send to its record here, on a busy machine
--- a/mastlift/lab/processes.py
+++ b/mastlift/lab/processes.py
@@ -7,7 +7,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -15,13 +14,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 END_S = 5.0
-
-
-def free_address() -> str:
-    """An address on loopback that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+ADDRESS_IN_USE = "address already in use"
 
 
 def cpu_s(pid: int) -> float:
@@ -57,7 +50,7 @@
                     if isinstance(event, dict) and event.get("event") == name:
                         return event
                 if self._reader.done():
-                    raise AssertionError(f"ended before '{name}': {self.lines[-5:]}")
+                    raise AssertionError(self._end_before(name))
                 self._more.clear()
                 await self._more.wait()
 
@@ -66,11 +59,17 @@
         async with asyncio.timeout(within_s):
             while not any(part in line for line in self.lines):
                 if self._reader.done():
-                    raise AssertionError(f"ended before '{part}': {self.lines[-5:]}")
+                    raise AssertionError(self._end_before(part))
                 self._more.clear()
                 await self._more.wait()
         return next(line for line in self.lines if part in line)
 
+    def _end_before(self, awaited: str) -> str:
+        """How the process ended before what was awaited in its log."""
+        taken = any(ADDRESS_IN_USE in line.lower() for line in self.lines)
+        reason = "another process took its address after it was drawn, " if taken else ""
+        return f"{reason}ended before '{awaited}': {self.lines[-5:]}"
+
     def send(self, number: signal.Signals) -> None:
         with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(number)
--- a/mastlift/lab/walk.py
+++ b/mastlift/lab/walk.py
@@ -10,9 +10,10 @@
 from pathlib import Path
 
 from mastlift.keeper.client import KeeperClient
+from mastlift.lab.addresses import free_address
 from mastlift.lab.chaos import ChaosGroup, running
 from mastlift.lab.fleet import served_meanwhile
-from mastlift.lab.processes import Child, free_address, keeper, keeper_settings, started
+from mastlift.lab.processes import Child, keeper, keeper_settings, started
 
 Tell = Callable[[str], None]
 
--- a/tests/test_bursts.py
+++ b/tests/test_bursts.py
@@ -11,10 +11,11 @@
 import pytest
 
 from balancing import api
+from mastlift.lab.addresses import free_port
 from proxy.frontend import MAX_PIPELINED, ClientConnection
 from tests.rig import Caller, FakeServer, Rig, make_config, member, run, scripted_proxy
 from tests.test_frontend import head
-from tests.test_process import free_port, launch, until_serving
+from tests.test_process import launch, until_serving
 from tests.test_upgrade_offers import OFFERS, chunked
 
 IMPROPER = head("GET / HTTP/1.1")  # neither a class nor an id
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -14,11 +14,12 @@
 
 import pytest
 
+from mastlift.lab.addresses import free_port
 from proxy import __main__ as program
 from proxy.frontend import ClientConnection
 from tests.rig import Caller, FakeServer, Rig, first_call, make_config, member, run, scripted_proxy
 from tests.test_frontend import GOOD, head
-from tests.test_process import free_port, launch, until_serving
+from tests.test_process import launch, until_serving
 
 REQUEST = head("GET /read/1 HTTP/1.1", *GOOD[:2], "X-Expires-In: 9")
 
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -19,11 +19,12 @@
 from mastlift.configuration import operations
 from mastlift.configuration.operations import Conflict, ProxyCondition
 from mastlift.keeper.client import KeeperClient, Unreachable
+from mastlift.lab.addresses import free_address
 from mastlift.lab.benches.config import hollow
 from mastlift.lab.chaos import ChaosGroup, running
 from mastlift.lab.configfleet import SERVICE, Machine, content, machines, until_status
 from mastlift.lab.faulty import Fault, Faults
-from mastlift.lab.processes import free_address, keeper, keeper_settings
+from mastlift.lab.processes import keeper, keeper_settings
 from mastlift.settings import BadSettings
 from tests.test_keeper import mastlift
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,12 +13,13 @@
 
 import pytest
 
+from mastlift.lab.addresses import free_port
 from proxy import control
 from proxy.__main__ import Evacuation
 from proxy.control import AdminEndpoint, Configuration, admin_calls, settings_digest
 from proxy.lifecycle import LifeCycle, Phase
 from tests.rig import Caller, FakeServer, Message, Rig, make_config, member, run, started
-from tests.test_process import ROOT, free_port, until_serving
+from tests.test_process import ROOT, until_serving
 
 UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
 
--- a/tests/test_descriptor_reserve.py
+++ b/tests/test_descriptor_reserve.py
@@ -13,11 +13,12 @@
 
 import pytest
 
+from mastlift.lab.addresses import free_port
 from proxy import frontend
 from proxy.upstream import Descriptors
 from tests.rig import Caller, FakeServer, Rig, make_config, member, run
 from tests.test_frontend import head
-from tests.test_process import free_port, launch, until_serving
+from tests.test_process import launch, until_serving
 
 SOCKETS = 100
 UP = head("GET /up HTTP/1.1", "Host: x")
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -19,11 +19,12 @@
 from mastlift.duty.clock import HolderClock, HoldState
 from mastlift.duty.holder import Duty, all_duties, while_held
 from mastlift.keeper.client import KeeperClient, Refused, Unreachable, ask_each
+from mastlift.lab.addresses import free_address, free_addresses
 from mastlift.lab.chaos import chaos_run, running, writing
 from mastlift.lab.crowd import crowd_run
 from mastlift.lab.duties import command_pid, duties_run, holder, resource
 from mastlift.lab.kill import Verdict, compare
-from mastlift.lab.processes import free_address, keeper, keeper_settings
+from mastlift.lab.processes import keeper, keeper_settings
 from mastlift.store.leases import LeaseClock
 from tests.test_keeper import mastlift
 
@@ -183,7 +184,7 @@
             )
             assert result.returncode == 0, result.stderr
             before = await client.ls()
-        addresses = {one: free_address() for one in "abc"}
+        addresses = dict(zip("abc", free_addresses(3), strict=True))
         configs = [keeper_settings(tmp_path / one, addresses[one], one, addresses) for one in "abc"]
         shutil.rmtree(tmp_path / "a" / "data")
         restored = await asyncio.to_thread(
@@ -392,7 +393,7 @@
     of requests however fast they fail."""
 
     async def test() -> None:
-        gone = [free_address() for _ in range(3)]
+        gone = free_addresses(3)
         clients = [KeeperClient(gone, deadline_s=5.0, seed=number) for number in range(100)]
 
         async def ask(client: KeeperClient) -> None:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -21,8 +21,9 @@
 from mastlift.duty.guarded import Deadlines, GuardedCommand, NotStartedError, kill_descendants
 from mastlift.duty.holder import DutyState, all_duties, is_held, put_while_held, request_hand_over
 from mastlift.keeper.client import KeeperClient
+from mastlift.lab.addresses import free_address
 from mastlift.lab.duties import ACTOR, Resource, holder, resource
-from mastlift.lab.processes import ROOT, Child, free_address, keeper, keeper_settings, started
+from mastlift.lab.processes import ROOT, Child, keeper, keeper_settings, started
 from mastlift.logwriter import BackgroundWriter
 from mastlift.processes import is_running
 from tests.rig import run
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -18,6 +18,7 @@
 from balancing import api
 from balancing.api import Outcome, State
 from balancing.balancer import Balancer
+from mastlift.lab.addresses import free_port
 from proxy import handover
 from proxy.__main__ import Succession
 from proxy.handover import Handover
@@ -27,7 +28,7 @@
 from tests.harness import SAFE, SETTINGS, Checker, servers
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, make_config, member, run
 from tests.test_control import call, launch
-from tests.test_process import free_port, until_serving
+from tests.test_process import until_serving
 
 
 def start_handover(folder: Path) -> Handover:
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -17,9 +17,10 @@
 
 from mastlift.keeper.client import KeeperClient, Refused
 from mastlift.keeper.watch import follow
+from mastlift.lab.addresses import free_address
 from mastlift.lab.faulty import Fault, Faults
 from mastlift.lab.kill import kill_run
-from mastlift.lab.processes import ROOT, Child, free_address, keeper, keeper_settings
+from mastlift.lab.processes import ROOT, Child, keeper, keeper_settings
 
 
 def run(test: Callable[[], Awaitable[None]], limit_s: float = 90.0) -> None:
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -30,9 +30,10 @@
 from mastlift.discovery.removal_limit import ExpiredLease, RemovalLimiter
 from mastlift.discovery.service import TokenBucket
 from mastlift.keeper.client import KeeperClient, Refused
+from mastlift.lab.addresses import free_address
 from mastlift.lab.listfaults import SCENARIOS, play_lists
 from mastlift.lab.listfleet import ListFleet, Witness
-from mastlift.lab.processes import Child, free_address, keeper, keeper_settings, started
+from mastlift.lab.processes import Child, keeper, keeper_settings, started
 from mastlift.lab.schedules import play
 from mastlift.store import commands as c
 from mastlift.store.history import Compacted, History
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,23 +6,17 @@
 import json
 import os
 import signal
-import socket
 import sys
 from pathlib import Path
 
 import pytest
 
+from mastlift.lab.addresses import free_port
 from tests.rig import LANES, Caller, FakeServer, make_config, member, run, started
 
 ROOT = Path(__file__).parent.parent
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 async def launch(config: str | None, folder: Path) -> asyncio.subprocess.Process:
     environment = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
     if config is not None:
