Proxy: send a last answer whole while its client goes on reading

Evacuation and SIGTERM did the same to kept connections.

Cause: a second after the end of the last answer had been written to the transport, _end_linger aborted it with what it had not passed to the kernel. The kernel takes more only once a third of what it holds has been read. The end of the process had the same fault, 1.5 s after the last open request.

Room for new connections is made at the cost of clients that rest; their descriptor is then free within a second, also for idle ones. An ending process waits for answers that are still read, until shortly before the expected SIGKILL.

--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -229,7 +229,7 @@
     flushed_by = loop.time() + FLUSH_TIMEOUT_S
     while proxy.has_open_requests() or (front.connections and loop.time() < flushed_by):
         is_over = loop.time() >= fail_all_at
-        if proxy.has_open_requests() or (front.is_receiving() and not is_over):
+        if proxy.has_open_requests() or ((front.is_receiving() or front.is_sending()) and not is_over):
             flushed_by = loop.time() + FLUSH_TIMEOUT_S
         if is_over:
             proxy.fail_all()
--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -27,6 +27,7 @@
     RequestParser,
     TunnelRequested,
 )
+from proxy.sending import SendProgress, unsent_bytes
 from proxy.upstream import Descriptors, Source
 
 log = logging.getLogger(__name__)
@@ -53,6 +54,7 @@
 # socket shows the end of its input; and a close differs from a half-close only by the reset that a few bytes provoke.
 EOF_POLL_S, RESET_PROBE_S = 0.04, 0.015
 SILENT_LINGER_S = 0.3  # for a connection that never sent a request: it must be closed within 3 s
+UNSENT_CHECK_S = 0.25  # interval between checks whether a client still reads its last answer
 MAX_LINGER_S = 30.0  # upper limit while a client still sends a body that the proxy no longer needs
 REASONS = {
     200: b"OK",
@@ -249,6 +251,8 @@
         self._is_half_closed = False  # end of input received, and a probe did not provoke a reset
         self._linger_timer: asyncio.TimerHandle | None = None
         self._linger_until = 0.0
+        self._send_progress: SendProgress | None = None  # of the last answer, once the connection is closing
+        self._is_released = False  # its descriptor no longer counts
         self.lingering_since = math.inf
         self._read_timer: asyncio.TimerHandle | None = None
         self._source: Source | None = None  # of the answer that is being streamed
@@ -709,7 +713,7 @@
         return b"".join(lines)
 
     def _after_answer(self, keep: bool, is_body_incomplete: bool = False) -> None:
-        if not keep and self._input is Input.ENDED:
+        if not keep and self._input is Input.ENDED and not self.has_unsent():
             self._drop_pipelined()
             self.close()  # no lingering: without further input the close causes no reset
         elif not keep:
@@ -754,17 +758,37 @@
             self.lingering_since = self._front.loop.time()
             self._front.mark_lingering(self)
             self._linger_until = self.lingering_since + linger_s
+            self._send_progress = SendProgress(self._transport, self.lingering_since)
             self._linger_timer = self._front.loop.call_later(min(linger_s, LINGER_S), self._end_linger)
 
     def _end_linger(self) -> None:
+        """Ends a closing connection once the client has taken its last answer, or no longer takes anything of it."""
         assert self._transport is not None
-        until = min(self._last_read_at + LINGER_S, self._linger_until)
-        left = until - self._front.loop.time()
-        if left > 0.0:
+        now = self._front.loop.time()
+        if self.has_unsent() and not self._has_stopped_reading(now):
+            self._linger_until = max(self._linger_until, now + LINGER_S)
+            self._linger_timer = self._front.loop.call_later(UNSENT_CHECK_S, self._end_linger)
+            return
+        left = min(self._last_read_at + LINGER_S, self._linger_until) - now
+        if left > 0.0 and not self.has_unsent():
             self._linger_timer = self._front.loop.call_later(left, self._end_linger)
         else:
             self._transport.abort()
 
+    def has_unsent(self) -> bool:
+        """Bytes of an answer would be lost if the connection were aborted."""
+        return self._transport is not None and unsent_bytes(self._transport) > 0
+
+    def _has_stopped_reading(self, now: float) -> bool:
+        limit_s = LINGER_S if self._is_released else BODY_STALL_TIMEOUT_S
+        return self._send_progress is None or self._send_progress.stalled_s(now) >= limit_s
+
+    def is_sending_last_answer(self) -> bool:
+        """The client has not taken its last answer yet, and takes some of it within LINGER_S."""
+        if not self.has_unsent() or self._send_progress is None:
+            return False
+        return self._send_progress.stalled_s(self._front.loop.time()) < LINGER_S
+
     def _drop_pipelined(self) -> None:
         for request in self._pipelined:
             if request.body_stream is not None:
@@ -813,10 +837,19 @@
         self._begin_linger(linger_s)
 
     def close(self) -> None:
-        """Closes the connection without lingering; its descriptor no longer counts."""
-        if self._transport is not None:
-            self._transport.close()
-            self._front.released(self)
+        """Closes the connection without lingering, once the client has taken its last answer.
+
+        Its descriptor no longer counts, so a client that stops reading is given LINGER_S only.
+        """
+        if self._transport is None:
+            return
+        if self.has_unsent():
+            now = self._front.loop.time()
+            self._send_progress = self._send_progress or SendProgress(self._transport, now)
+            self._linger_timer = self._linger_timer or self._front.loop.call_later(UNSENT_CHECK_S, self._end_linger)
+        self._is_released = True
+        self._transport.close()
+        self._front.released(self)
 
 
 class Listener:
@@ -932,6 +965,10 @@
         """Some connection has received part of a request."""
         return any(connection.is_receiving() for connection in self.connections)
 
+    def is_sending(self) -> bool:
+        """Some client has not taken the whole of an answer that was written to its connection."""
+        return any(connection.has_unsent() for connection in self.connections)
+
     def stop_listening(self) -> None:
         if self._listener is not None:
             self._listener.close()
@@ -989,11 +1026,14 @@
         )
 
     def _close_lingering(self) -> bool:
-        oldest = next(iter(self.lingering), None)
-        if oldest is None or oldest.lingering_since > self.loop.time() - MIN_LINGER_S:
-            return False
-        oldest.close()
-        return True
+        since = self.loop.time() - MIN_LINGER_S
+        for oldest in self.lingering:
+            if oldest.lingering_since > since:
+                return False
+            if not oldest.is_sending_last_answer():
+                oldest.close()
+                return True
+        return False
 
     def _close_idle_past_minimum(self) -> bool:
         return self._close_longest_idle(lambda other: True, self.loop.time() - MIN_IDLE_S)
