Proxy: count memory held for peers, and why connections are closed or rejected

A refused long body was logged as 277588 ms old: its arrival is 0 until its last byte.

Change: bytes held are counted by kind for each connection and in sum (no limit hangs on them yet; the one for buffered bodies is as before); /metrics has them, the resident memory, its limit, client connections by state, rejected requests by status, connections closed out of turn and attempts never sent by reason. From 0.9 of the memory limit on there is a log line a second. A long body that has not come whole is logged with the bytes received.

--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -26,6 +26,7 @@
 from proxy.metrics import ProxyMetrics
 from proxy.proxy import Proxy
 from proxy.upstream import Descriptors
+from proxy.usage import UsageLog
 
 # New connections still arrive for 0.2 to 0.4 s after SIGTERM. Only after that are connections closed with their next
 # answer; the listener closes a little later, and all accepted requests are answered before the process exits.
@@ -174,7 +175,7 @@
     descriptors = Descriptors(config.sockets, control.DESCRIPTORS if config.control else 0)
     budget = BodyBudget(config.memory_mb)
     proxy = Proxy(config, loop, descriptors, budget, life, inherited, metrics)
-    front = Frontend(loop, RequestReader(config), descriptors, budget, proxy, life)
+    front = Frontend(loop, RequestReader(config), descriptors, budget, proxy, life, metrics)
     reload = Reload(config, proxy, front, status)
     loop.add_signal_handler(signal.SIGHUP, reload)
     Evacuation(loop, front, life)
@@ -193,6 +194,8 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     log.info("%s serves on %s:%d", config.name, *front.address())
+    usage = UsageLog(loop, config.memory_mb, budget.memory, front, metrics)
+    usage.start()
     if early.is_due:
         reload()
     await stopping.wait()
@@ -200,6 +203,7 @@
         handover.read_peers()  # SIGTERM may arrive right after the newer process became ready
     life.leave()
     await leave(reload.config, proxy, front, life)
+    usage.stop()
     admin.close()
     proxy.stop()
     if handover is not None:
--- a/proxy/flow.py
+++ b/proxy/flow.py
@@ -5,6 +5,8 @@
 from collections import deque
 from collections.abc import Callable
 
+from proxy.memory import Held, HeldMemory, MemoryAccount
+
 MAX_BUFFERED_BODY = 64 * 1024  # bytes; a body up to this size is buffered completely and can be sent again
 MAX_BODY = 32 << 20  # bytes
 BODY_STALL_TIMEOUT_S = 20.0  # a peer that makes no progress with a body for this long counts as dead
@@ -22,7 +24,12 @@
     def __init__(self, memory_mb: float) -> None:
         self.total = int(memory_mb * MB * BODY_MEMORY_SHARE)
         self.streaming = 0  # number of bodies that are being streamed, and of connections with unparsed data
-        self.held = 0  # bytes of request bodies that are buffered completely
+        self.memory = HeldMemory()
+
+    @property
+    def held(self) -> int:
+        """Bytes of request bodies that are buffered completely."""
+        return self.memory.by_kind[Held.BODY]
 
     def chunk_size(self) -> int:
         """Bytes to read at a time from each connection; the more bodies are streamed, the fewer."""
@@ -39,6 +46,7 @@
     """A request's body that is streamed to one server. Sent chunks are not kept, so it can't be sent again."""
 
     __slots__ = (
+        "_account",
         "_budget",
         "_chunks",
         "_on_data",
@@ -46,19 +54,27 @@
         "ended",
         "length",
         "on_sending_started",
+        "received_bytes",
         "sending_started",
         "unsent_bytes",
     )
 
     def __init__(
-        self, budget: BodyBudget, length: int | None, first: bytes, update_reading: Callable[[], None]
+        self,
+        budget: BodyBudget,
+        length: int | None,
+        first: bytes,
+        update_reading: Callable[[], None],
+        account: MemoryAccount,
     ) -> None:
         self._budget = budget
+        self._account = account
         self._chunks = deque((first,))
         self._on_data: Callable[[], None] | None = None
         self._update_reading = update_reading  # pauses or resumes reading from the client
         self.length = length  # bytes; None for a chunked body
-        self.unsent_bytes = len(first)
+        self.unsent_bytes = self.received_bytes = len(first)
+        account.set(Held.STREAM, self.unsent_bytes)
         self.ended = self.sending_started = False
         self.on_sending_started: Callable[[], None] = lambda: None
 
@@ -69,6 +85,8 @@
     def push(self, data: bytes) -> None:
         self._chunks.append(data)
         self.unsent_bytes += len(data)
+        self.received_bytes += len(data)
+        self._account.set(Held.STREAM, self.unsent_bytes)
         if self._on_data is not None:
             self._on_data()
 
@@ -90,6 +108,7 @@
         data = b"".join(self._chunks)
         self._chunks.clear()
         self.unsent_bytes = 0
+        self._account.set(Held.STREAM, 0)
         if data and not self.sending_started:
             self.sending_started = True
             self.on_sending_started()
@@ -102,3 +121,4 @@
         self.on_sending_started = self._update_reading = lambda: None  # breaks a reference cycle with the request
         self._chunks.clear()
         self.unsent_bytes = 0
+        self._account.set(Held.STREAM, 0)
--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -18,6 +18,8 @@
 from proxy.config import Address, NodeConfig, method_of
 from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, BodyBudget, RequestBodyStream
 from proxy.lifecycle import LifeCycle
+from proxy.memory import Held, MemoryAccount
+from proxy.metrics import ProxyMetrics
 from proxy.request_parser import (
     MAX_HEAD,
     BadRequest,
@@ -105,6 +107,7 @@
     cost_ms: float | None = None  # estimated processing time, from X-Size-Hint
     is_retry: bool = False
     read_by: RequestReader | None = None  # shows whether the settings changed since the headers were read
+    held_head_bytes: int = 0  # the memory that the head takes
 
     def is_body_incomplete(self) -> bool:
         return self.body_stream is not None and not self.body_stream.ended
@@ -219,6 +222,29 @@
     UNWANTED = "unwanted"  # input is discarded: it was malformed, or the connection is closing
 
 
+class ConnectionState(Enum):
+    """What a client connection is doing; the values are labels of metrics and of log lines."""
+
+    SILENT = "silent"  # no complete request yet, and no part of one
+    IDLE = "idle"
+    HEAD = "in_head"
+    BODY = "in_body"
+    WAITING = "waiting"  # for the answer to a whole request
+    ANSWERING = "answering"  # a long answer is being streamed
+    CLOSING = "closing"
+
+
+class CloseReason(Enum):
+    """Why the proxy closes a client connection out of turn; the values are labels of metrics."""
+
+    IDLE = "room, idle"
+    LINGERING = "room, lingering"
+    STALLED = "room, stalled in a head"
+    OVER_LIMIT = "no descriptor"
+    SILENT = "no request in time"
+    UNREAD_ANSWER = "answer not read"
+
+
 class ClientConnection(asyncio.BufferedProtocol):
     """One connection of a client: parses its requests and writes their answers in the order of the requests."""
 
@@ -240,7 +266,7 @@
         self.is_new = True  # no complete request received yet
         self.idle_since = self._request_began_at = self._last_read_at = front.loop.time()
         self._head_ended_at = 0.0  # on the loop's clock
-        self._held = 0  # bytes of buffered bodies, counted in the budget
+        self._account = MemoryAccount(front.budget.memory)
         self._pipelined: deque[ClientRequest] = deque()
         self._reading_paused = False
         self._paused_at = 0.0
@@ -286,6 +312,7 @@
         while position < len(data) and len(self._pipelined) < MAX_PIPELINED and self._input is Input.OPEN:
             position = self._parse_message(data, position)
         self._set_unparsed(data[position:] if self._input is Input.OPEN else b"")
+        self._account.set(Held.INCOMPLETE_HEAD, self._parser.held_head_bytes() if self._parser.in_head else 0)
         if not self._in_request:
             if not self.is_new:
                 self._stop_read_timer()
@@ -320,6 +347,7 @@
         """Keeps received data. Like a streamed body, it reduces what is read from each connection at a time."""
         self._front.budget.streaming += bool(data) - bool(self._unparsed)
         self._unparsed = data
+        self._account.set(Held.INPUT, len(data))
 
     def _parse_more(self) -> None:
         self._is_parse_scheduled = False
@@ -347,6 +375,7 @@
             self._reject_input(Rejection(408, "the request did not come in time"))
             self._process_next()
         elif self.is_idle():
+            self._front.metrics.closed.add(CloseReason.SILENT.value)
             self.shut_down(SILENT_LINGER_S)
         elif not self._is_closing():
             # The socket has unread bytes, which may be the request.
@@ -360,13 +389,24 @@
     def pause_writing(self) -> None:
         """Applies back-pressure: without it, answers to a client that sends requests but reads nothing fill memory."""
         self._is_writing_paused = True
+        self._count_unsent()
         if self._source is not None:
             self._source.pause()
             self._stop_stall_timer()
-            self._stall_timer = self._front.loop.call_later(BODY_STALL_TIMEOUT_S, self.abort_answer)
+            self._stall_timer = self._front.loop.call_later(BODY_STALL_TIMEOUT_S, self._end_unread_answer)
+
+    def _end_unread_answer(self) -> None:
+        self._front.metrics.closed.add(CloseReason.UNREAD_ANSWER.value)
+        self.abort_answer()
+
+    def _count_unsent(self) -> None:
+        """Counts the answers that the client has not taken; small ones that the socket took at once need no count."""
+        if self._is_writing_paused and self._transport is not None:
+            self._account.set(Held.ANSWER, self._transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         self._is_writing_paused = False
+        self._account.set(Held.ANSWER, 0)
         self._stop_stall_timer()
         if self._source is not None:
             self._source.resume()
@@ -396,6 +436,7 @@
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._front.closed(self)
+        self._account.release()
         self._body = []
         self._incoming = None
         self._parser.close()
@@ -497,7 +538,9 @@
             head.keep_alive,
             0.0,
             is_http10=head.is_http10,
+            held_head_bytes=head.held_bytes,
         )
+        self._account.add(Held.HEAD, head.held_bytes)
         length = self._body_length = head.length
         expects = any(name.lower() == b"expect" and value.lower() == b"100-continue" for name, value in head.headers)
         if length is not None and length > MAX_BODY:
@@ -540,7 +583,7 @@
         body, self._body = self._body, []
         self._adjust_held(-self._body_size)
         request.body_stream = RequestBodyStream(
-            self._front.budget, self._body_length, b"".join(body), self._update_reading
+            self._front.budget, self._body_length, b"".join(body), self._update_reading, self._account
         )
         self._front.budget.streaming += 1
         self._pipelined.append(request)
@@ -562,8 +605,7 @@
         request.body_stream.end()
 
     def _adjust_held(self, size: int) -> None:
-        self._held += size
-        self._front.budget.held += size
+        self._account.add(Held.BODY, size)
 
     # --- requests in order ---
 
@@ -579,6 +621,8 @@
                 self._read_headers(request)  # the settings were reloaded since
             if request.rejection is not None:
                 status, reason = request.rejection
+                if request.read_by is not None:
+                    self._front.metrics.rejected.add(str(status))
                 self.answer(status, self._front.reader.busy_headers if status == 503 else [], reason.encode())
             elif request.is_up_check:
                 self.answer(200 if self._front.life.is_up() else 503, [], b"")
@@ -663,6 +707,7 @@
     def forward(self, data: bytes) -> None:
         if data and self._source is not None and self._transport is not None and not self._is_closing():
             self._transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self._is_chunked else data)
+            self._count_unsent()
 
     def end_answer(self) -> None:
         request = self._finish_request()
@@ -685,6 +730,7 @@
         self._stop_stall_timer()
         if request is not None:
             self._adjust_held(-len(request.body))
+            self._account.add(Held.HEAD, -request.held_head_bytes)
             if request.body_stream is not None:
                 self._front.budget.streaming -= 1
                 request.body_stream.drop()
@@ -722,12 +768,17 @@
         """Discards all further input and queues the error answer behind the requests received before it."""
         self._input = Input.UNWANTED
         self._in_request = self.is_new = self._continue_pending = False
+        self._front.metrics.rejected.add(str(rejection.status))
         self._set_unparsed(b"")
+        self._account.set(Held.INCOMPLETE_HEAD, 0)
         incoming, self._incoming = self._incoming, None
+        if incoming is not None and incoming is not self.request:
+            self._account.add(Held.HEAD, -incoming.held_head_bytes)
         if incoming is not None and incoming.body_stream is not None:
             if incoming is not self.request:
                 self._pipelined.remove(incoming)
                 self._front.budget.streaming -= 1
+                incoming.body_stream.drop()
             elif self._source is not None:
                 self.abort_answer()
                 return
@@ -788,9 +839,12 @@
         for request in self._pipelined:
             if request.body_stream is not None:
                 self._front.budget.streaming -= 1
+                request.body_stream.drop()
         self._pipelined.clear()
         self._set_unparsed(b"")
-        self._adjust_held(-self._held)
+        self._account.set(Held.BODY, 0)
+        self._account.set(Held.HEAD, 0)
+        self._account.set(Held.INCOMPLETE_HEAD, 0)
 
     def _is_closing(self) -> bool:
         return self._linger_timer is not None or self._transport is None or self._transport.is_closing()
@@ -816,6 +870,18 @@
             return False
         return not self._poll(select.POLLIN)
 
+    def state(self) -> ConnectionState:
+        """For metrics and log lines."""
+        if self._is_closing():
+            return ConnectionState.CLOSING
+        if self._source is not None:
+            return ConnectionState.ANSWERING
+        if self._in_request:
+            return ConnectionState.HEAD if self._parser.in_head else ConnectionState.BODY
+        if self._has_unanswered():
+            return ConnectionState.WAITING
+        return ConnectionState.SILENT if self.is_new else ConnectionState.IDLE
+
     def is_receiving(self) -> bool:
         return (self._in_request or bool(self._unparsed)) and not self._is_closing()
 
@@ -916,6 +982,7 @@
     budget: BodyBudget
     handler: Handler
     life: LifeCycle
+    metrics: ProxyMetrics = field(default_factory=ProxyMetrics)
     closing: bool = False  # connections close after their next answer
     connections: dict[ClientConnection, None] = field(default_factory=dict)  # longest idle first
     lingering: dict[ClientConnection, None] = field(default_factory=dict)  # longest lingering first
@@ -990,7 +1057,11 @@
         if not self.is_over_limit() or self.make_room() or self.handler.make_room():
             return
         if not self._close_longest_idle(lambda other: other is not connection) and not self.has_room_for(0):
-            connection.close()
+            self._close_for(connection, CloseReason.OVER_LIMIT)
+
+    def _close_for(self, connection: ClientConnection, reason: CloseReason) -> None:
+        self.metrics.closed.add(reason.value)
+        connection.close()
 
     def has_room_for(self, more: int) -> bool:
         """`more` connections can be accepted, counting those whose requests are only refused."""
@@ -1025,7 +1096,7 @@
             if oldest.lingering_since > since:
                 return False
             if not oldest.is_sending_last_answer():
-                oldest.close()
+                self._close_for(oldest, CloseReason.LINGERING)
                 return True
         return False
 
@@ -1042,7 +1113,7 @@
             if other.idle_since > since:
                 return False  # the connections are ordered, so none of the following is stalled for as long
             if other.is_stalled_in_head(since):
-                other.close()
+                self._close_for(other, CloseReason.STALLED)
                 return True
         return False
 
@@ -1051,7 +1122,7 @@
             if other.idle_since > since:
                 return False
             if may_close(other) and other.is_idle():
-                other.close()
+                self._close_for(other, CloseReason.IDLE)
                 return True
         return False
 
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -141,16 +141,23 @@
             for attempt in request.attempts
         )
         log.info(
-            "%s class %d answered %d after %.0f ms of %.0f, %s: %s",
+            "%s class %d answered %d %s, %s: %s",
             message.trace_id,
             message.class_index,
             status,
-            now - message.arrived_at * 1000.0,
-            message.left_ms,
+            self._age_text(message, now),
             reason.value,
             attempts or "never sent",
         )
 
+    @staticmethod
+    def _age_text(message: ClientRequest, now: float) -> str:
+        """How much of the request's time is over; it starts with the last byte of the body."""
+        if message.body_stream is not None and not message.body_stream.ended:
+            received = message.body_stream.received_bytes
+            return f"with {received} bytes of its body received, {message.left_ms:.0f} ms from its end on"
+        return f"after {now - message.arrived_at * 1000.0:.0f} ms of {message.left_ms:.0f}"
+
 
 class Timer:
     """A timer that never fires early: a timeout that fires early would leave time for a further attempt that cannot
@@ -203,7 +210,7 @@
         self._config = config
         self._loop = loop
         self._balancer = Balancer(config.settings, config.seed)
-        self._pool = Pool(loop, descriptors, budget, config.idle_close_ms, config.connect_timeout_ms)
+        self._pool = Pool(loop, descriptors, budget, config.idle_close_ms, config.connect_timeout_ms, self._metrics)
         self._requests: dict[str, LiveRequest] = {}
         self._by_client: dict[ClientConnection, LiveRequest] = {}
         self._addresses: dict[str, Address] = {}
--- a/proxy/request_parser.py
+++ b/proxy/request_parser.py
@@ -11,6 +11,8 @@
 
 import httptools
 
+from proxy.memory import HEADER_FIELD_OVERHEAD
+
 MAX_HEAD = 64 * 1024  # bytes of a request's head
 END_OF_HEAD = b"\r\n\r\n"  # also ends each chunked body
 OPTIONAL_WHITESPACE = b" \t"  # allowed around a header's value; httptools keeps it at the end
@@ -51,6 +53,7 @@
     length: int | None  # bytes of the body, if stated
     keep_alive: bool
     is_http10: bool
+    held_bytes: int  # the memory that it takes
 
 
 class RequestReceiver(Protocol):
@@ -99,6 +102,10 @@
             raise _bad_request_of(problem) from None
         return end
 
+    def held_head_bytes(self) -> int:
+        """The memory that the head of the current message takes, in bytes."""
+        return self._head_size + HEADER_FIELD_OVERHEAD * len(self._headers)
+
     def close(self) -> None:
         """Breaks the reference cycles with httptools and the receiver, which would delay the release of a body."""
         del self._parser, self._receiver, self.on_body
@@ -178,6 +185,7 @@
                 length,
                 bool(self._parser.should_keep_alive()),
                 self._parser.get_http_version() == "1.0",
+                self.held_head_bytes(),
             )
         )
 
--- a/proxy/upstream.py
+++ b/proxy/upstream.py
@@ -20,6 +20,8 @@
 from balancing.api import Outcome
 from proxy.config import Address
 from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, BodyBudget, RequestBodyStream
+from proxy.memory import Held, MemoryAccount
+from proxy.metrics import ProxyMetrics
 
 MAX_HEAD = 64 * 1024  # bytes
 MAX_FRAMING = 8  # bytes on the wire per byte of the body, for a body in small chunks
@@ -95,6 +97,16 @@
         return self.used < self.limit + self.REFUSED_CLIENTS + self.BACKEND_RESERVE
 
 
+class NotSent(Enum):
+    """Why an attempt was never sent; the values are labels of metrics."""
+
+    REFUSED = "connection refused"
+    CONNECT_TIMEOUT = "no connection in time"
+    UNREAD_DATA = "data before the request"
+    TOO_LATE = "not allowed to start any more"
+    BROKEN = "connection broken before the end of the request"
+
+
 class Exchange:
     """One attempt on a connection. `done` is called once, unless the exchange is aborted first."""
 
@@ -153,6 +165,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._write_started = self._paused = False
         self._sent_end = True  # whether the end of a streamed request body has been written
+        self._account = MemoryAccount(pool.budget.memory)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._size = self._received = 0
@@ -179,7 +192,7 @@
         try:
             await self.pool.loop.create_connection(lambda: self, *self.address)
         except OSError:
-            self._not_connected()
+            self._not_connected(NotSent.REFUSED)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -198,7 +211,7 @@
         if self._transport is None or self._write_started or self.closed:
             return
         if self.has_unread():
-            self._finish(Outcome.CONNECT_FAILED)  # data before any request: its answers could not be trusted
+            self._fail_unsent(NotSent.UNREAD_DATA)  # data before any request: its answers could not be trusted
         else:
             self._write()
 
@@ -209,9 +222,15 @@
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
-    def _not_connected(self) -> None:
+    def _not_connected(self, reason: NotSent = NotSent.CONNECT_TIMEOUT) -> None:
         if self._transport is None:
-            self._finish(Outcome.CONNECT_FAILED)
+            self._fail_unsent(reason)
+
+    def _fail_unsent(self, reason: NotSent) -> None:
+        """Ends the exchange, of which no server has the whole request."""
+        if self.exchange is not None:
+            self.pool.metrics.not_connected.add(reason.value)
+        self._finish(Outcome.CONNECT_FAILED)
 
     # --- one exchange ---
 
@@ -228,7 +247,7 @@
         if start is Start.LATER:
             return
         if start is Start.NEVER:
-            self._finish(Outcome.CONNECT_FAILED)
+            self._fail_unsent(NotSent.TOO_LATE)
             return
         self._write_started = True
         self._answer = None
@@ -237,7 +256,7 @@
         if self._transport.is_closing():
             # The first write failed, so the kernel accepted no byte.
             self._write_started = False
-            self._finish(Outcome.CONNECT_FAILED)
+            self._fail_unsent(NotSent.BROKEN)
         elif exchange.body is not None:
             self._start_stall_timer()
             exchange.body.attach(self._send_body)
@@ -267,9 +286,12 @@
 
     def pause_writing(self) -> None:
         self._paused = True
+        assert self._transport is not None
+        self._account.set(Held.SERVER_REQUEST, self._transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         self._paused = False
+        self._account.set(Held.SERVER_REQUEST, 0)
         self._send_body()
 
     # --- the answer ---
@@ -328,6 +350,7 @@
     def _clear(self) -> None:
         self._headers, self._body, self._size, self._received = [], [], 0, 0
         self._length, self._until_close = None, False
+        self._account.set(Held.SERVER_ANSWER, 0)
 
     def on_body(self, body: bytes) -> None:
         if self.exchange is None:
@@ -339,6 +362,7 @@
             self._sink.forward(body)
             return
         self._body.append(body)
+        self._account.set(Held.SERVER_ANSWER, self._size)
         if max(self._size, self._length or 0) > MAX_BUFFERED_BODY:
             self._start_stream()
 
@@ -364,6 +388,7 @@
         self.pool.budget.streaming += 1
         self._start_stall_timer()
         body, self._body = self._body, []
+        self._account.set(Held.SERVER_ANSWER, 0)
         sink.forward(b"".join(body))
 
     def on_message_complete(self) -> None:
@@ -439,7 +464,10 @@
 
     def _fail_broken(self) -> None:
         """Ends the exchange for a broken connection. The request may have run only if its last byte was written."""
-        self._finish(Outcome.RESET if self.is_written() else Outcome.CONNECT_FAILED)
+        if self.is_written():
+            self._finish(Outcome.RESET)
+        else:
+            self._fail_unsent(NotSent.BROKEN)
 
     def _finish(self, outcome: Outcome, answer: Answer | None = None) -> None:
         exchange, self.exchange = self.exchange, None
@@ -476,6 +504,7 @@
             # Breaks the reference cycle of the parser and the connection: otherwise the received part of an answer
             # would stay in memory until the next full garbage collection.
             self._clear()
+            self._account.release()
             del self._parser
         if self._transport is not None:
             self._transport.abort()
@@ -498,9 +527,11 @@
         budget: BodyBudget,
         idle_close_ms: float,
         connect_timeout_ms: float,
+        metrics: ProxyMetrics | None = None,
     ) -> None:
         self.loop = loop
         self.budget = budget
+        self.metrics = metrics or ProxyMetrics()
         self._descriptors = descriptors
         self.change(idle_close_ms, connect_timeout_ms)
         self._idle: dict[str, list[Connection]] = {}
