Proxy: a bound that has passed to the millisecond counts as passed

Cause: the loop's clock has steps of 1 ms; the test sleeps MIN_LINGER_S to the millisecond, and 'stored > now - bound' compares with the rounding of a subtraction, 2.27e-13 s off. The comparison is wrong, not the wait: the bound has passed.

Tests that sleep exactly a bound of the code: this one only; the others sleep a multiple (test_reference_cycles, test_last_answers) or patch the bound to 0 or an hour. No assertion changed.

--- a/proxy/discovery.py
+++ b/proxy/discovery.py
@@ -29,6 +29,7 @@
 )
 from balancing.balancer import max_retry_delay_ms
 from balancing.freshness import ListFreshness
+from proxy.clock import has_elapsed
 from proxy.config import Address, read_address
 from proxy.listfile import write_list
 from proxy.metrics import ProxyMetrics
@@ -329,7 +330,7 @@
     def _is_at_closed_address(self, watch: WatchConnection) -> bool:
         """Whether the watch is at a former address that closes its connections by now, so that its end is expected and
         no change is missed."""
-        return self.loop.time() >= watch.moved_away_at + FORMER_ADDRESS_CLOSES_S
+        return has_elapsed(watch.moved_away_at, FORMER_ADDRESS_CLOSES_S, self.loop.time())
 
     def _replace_watch(self, call: WatchConnection, revision: int) -> None:
         """Makes the call that has sent a list the watch, and closes the previous one."""
--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -15,6 +15,7 @@
 from typing import Protocol, cast
 
 from balancing.api import Effect
+from proxy.clock import has_elapsed
 from proxy.config import Address, NodeConfig, method_of
 from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, BodyBudget, RequestBodyStream
 from proxy.lifecycle import LifeCycle
@@ -829,7 +830,8 @@
     def _has_rested(self, limit_s: float) -> bool:
         """The client has taken nothing of its last answer for that time."""
         assert self._send_progress is not None
-        return self._send_progress.stalled_s(self._front.loop.time()) >= limit_s
+        now = self._front.loop.time()
+        return has_elapsed(self._send_progress.last_progress_at(now), limit_s, now)
 
     def is_sending_last_answer(self) -> bool:
         """The client of a closing connection has not taken its last answer yet, and took some of it in LINGER_S."""
@@ -885,9 +887,9 @@
     def is_receiving(self) -> bool:
         return (self._in_request or bool(self._unparsed)) and not self._is_closing()
 
-    def is_stalled_in_head(self, since: float) -> bool:
-        """The head is incomplete and nothing has been received since the given time."""
-        return self._parser.in_head and self._last_read_at <= since and not self._has_unanswered()
+    def is_stalled_in_head(self, duration_s: float, now: float) -> bool:
+        """The head is incomplete and nothing has been received for that time."""
+        return self._parser.in_head and has_elapsed(self._last_read_at, duration_s, now) and not self._has_unanswered()
 
     def shut_down(self, linger_s: float = LINGER_S) -> None:
         """Closes an idle connection gracefully.
@@ -1040,9 +1042,10 @@
 
     def close_idle(self, first_request_s: float = 0.0) -> None:
         """Closes idle connections; one without a request yet only if it is older than `first_request_s`."""
-        until = self.loop.time() - first_request_s
+        now = self.loop.time()
         for connection in list(self.connections):
-            if not (connection.is_new and connection.idle_since > until) and connection.is_idle():
+            may_send = connection.is_new and not has_elapsed(connection.idle_since, first_request_s, now)
+            if not may_send and connection.is_idle():
                 connection.shut_down()
 
     def opened(self, connection: ClientConnection) -> None:
@@ -1091,9 +1094,9 @@
         )
 
     def _close_lingering(self) -> bool:
-        since = self.loop.time() - MIN_LINGER_S
+        now = self.loop.time()
         for oldest in self.lingering:
-            if oldest.lingering_since > since:
+            if not has_elapsed(oldest.lingering_since, MIN_LINGER_S, now):
                 return False
             if not oldest.is_sending_last_answer():
                 self._close_for(oldest, CloseReason.LINGERING)
@@ -1101,25 +1104,26 @@
         return False
 
     def _close_idle_past_minimum(self) -> bool:
-        return self._close_longest_idle(lambda other: True, self.loop.time() - MIN_IDLE_S)
+        return self._close_longest_idle(lambda other: True, MIN_IDLE_S)
 
     def _close_idle_answered(self) -> bool:
         return self._close_longest_idle(lambda other: not other.is_new)
 
     def _close_stalled(self) -> bool:
         """Closes a connection without progress for STALLED_HEAD_S within a head; it is unlikely to continue."""
-        since = self.loop.time() - STALLED_HEAD_S
+        now = self.loop.time()
         for other in self.connections:
-            if other.idle_since > since:
+            if not has_elapsed(other.idle_since, STALLED_HEAD_S, now):
                 return False  # the connections are ordered, so none of the following is stalled for as long
-            if other.is_stalled_in_head(since):
+            if other.is_stalled_in_head(STALLED_HEAD_S, now):
                 self._close_for(other, CloseReason.STALLED)
                 return True
         return False
 
-    def _close_longest_idle(self, may_close: Callable[[ClientConnection], bool], since: float = math.inf) -> bool:
+    def _close_longest_idle(self, may_close: Callable[[ClientConnection], bool], rest_s: float = -math.inf) -> bool:
+        now = self.loop.time()
         for other in self.connections:
-            if other.idle_since > since:
+            if not has_elapsed(other.idle_since, rest_s, now):
                 return False
             if may_close(other) and other.is_idle():
                 self._close_for(other, CloseReason.IDLE)
--- a/proxy/sending.py
+++ b/proxy/sending.py
@@ -18,13 +18,13 @@
         self._waiting = self._count()
         self._changed_at = now
 
-    def stalled_s(self, now: float) -> float:
-        """Seconds for which the peer has taken nothing, as far as the calls of this method have seen."""
+    def last_progress_at(self, now: float) -> float:
+        """Since when the peer has taken nothing, as far as the calls of this method have seen."""
         waiting = self._count()
         if waiting != self._waiting:
             self._waiting = waiting
             self._changed_at = now
-        return now - self._changed_at
+        return self._changed_at
 
     def _count(self) -> int:
         connection = self._transport.get_extra_info("socket")
--- a/proxy/upstream.py
+++ b/proxy/upstream.py
@@ -18,6 +18,7 @@
 import httptools
 
 from balancing.api import Outcome
+from proxy.clock import has_elapsed
 from proxy.config import Address
 from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, BodyBudget, RequestBodyStream
 from proxy.memory import Held, MemoryAccount
@@ -544,9 +545,9 @@
 
     def send(self, server: str, address: Address, exchange: Exchange) -> bool:
         """Sends the exchange on an idle connection or a new one. False if no connection may be opened."""
-        idle_before = self.loop.time() - MIN_IDLE_S
+        now = self.loop.time()
         for connection in self._idle.get(server, [])[::-1]:
-            if connection.idle_since > idle_before:
+            if not has_elapsed(connection.idle_since, MIN_IDLE_S, now):
                 continue
             if connection.has_unread():
                 connection.abort()
