--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -539,9 +539,9 @@
             head.keep_alive,
             0.0,
             is_http10=head.is_http10,
-            held_head_bytes=head.held_bytes,
+            held_head_bytes=head.held_bytes(),
         )
-        self._account.add(Held.HEAD, head.held_bytes)
+        self._account.add(Held.HEAD, request.held_head_bytes)
         length = self._body_length = head.length
         expects = any(name.lower() == b"expect" and value.lower() == b"100-continue" for name, value in head.headers)
         if length is not None and length > MAX_BODY:
--- a/proxy/request_parser.py
+++ b/proxy/request_parser.py
@@ -53,7 +53,11 @@
     length: int | None  # bytes of the body, if stated
     keep_alive: bool
     is_http10: bool
-    held_bytes: int  # the memory that it takes
+
+    def held_bytes(self) -> int:
+        """The memory that it takes, in bytes."""
+        text = len(self.target) + sum(len(name) + len(value) for name, value in self.headers)
+        return text + HEADER_FIELD_OVERHEAD * len(self.headers)
 
 
 class RequestReceiver(Protocol):
@@ -185,7 +189,6 @@
                 length,
                 bool(self._parser.should_keep_alive()),
                 self._parser.get_http_version() == "1.0",
-                self.held_head_bytes(),
             )
         )
 
