Proxy: a head of more than 256 fields is rejected

Cause: a head was limited by its bytes (64 KiB) alone. A field of 5 bytes is kept as a tuple and two byte strings, some 180 bytes, so a head held up to 2.3 MB. The same in the answers of servers.

Change: MAX_HEADER_FIELDS, 431 for requests, an invalid answer for servers. Evidence: two of the three kinds of tests in tests/test_held_memory.py fail without the limit (the third guards that 256 fields are served).

--- a/proxy/request_parser.py
+++ b/proxy/request_parser.py
@@ -14,6 +14,7 @@
 from proxy.memory import HEADER_FIELD_OVERHEAD
 
 MAX_HEAD = 64 * 1024  # bytes of a request's head
+MAX_HEADER_FIELDS = 256  # of a head; a short field takes many times its bytes
 END_OF_HEAD = b"\r\n\r\n"  # also ends each chunked body
 OPTIONAL_WHITESPACE = b" \t"  # allowed around a header's value; httptools keeps it at the end
 
@@ -174,6 +175,8 @@
         self._count_head(len(name) + len(value or b""))
         if self.in_head:  # trailers after the body are ignored
             self._headers.append((name, (value or b"").strip(OPTIONAL_WHITESPACE)))
+            if len(self._headers) > MAX_HEADER_FIELDS:
+                raise BadRequest(431, "the head has too many fields")
 
     def on_headers_complete(self) -> None:
         if self._is_offer():
--- a/proxy/upstream.py
+++ b/proxy/upstream.py
@@ -23,8 +23,8 @@
 from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, BodyBudget, RequestBodyStream
 from proxy.memory import Held, MemoryAccount
 from proxy.metrics import ProxyMetrics
+from proxy.request_parser import MAX_HEAD, MAX_HEADER_FIELDS
 
-MAX_HEAD = 64 * 1024  # bytes
 MAX_FRAMING = 8  # bytes on the wire per byte of the body, for a body in small chunks
 # A backend may send a second answer some ms after the first. On a connection that is reused immediately it would be
 # taken for the answer to the next request, so a connection is reused only after this time. Data that arrives meanwhile,
@@ -334,6 +334,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_head:  # trailers are ignored
             self._headers.append((name, (value or b"").strip(b" \t")))
+            if len(self._headers) > MAX_HEADER_FIELDS:
+                raise ValueError("the answer's head has too many fields")
 
     def on_headers_complete(self) -> None:
         self._in_head = False
--- /dev/null
+++ b/tests/test_held_memory.py
@@ -0,0 +1,52 @@
+"""What single peers can make the proxy hold: heads of many fields, bodies in tiny chunks, answers that are not read."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from proxy.memory import HEADER_FIELD_OVERHEAD, Held
+from proxy.request_parser import MAX_HEADER_FIELDS
+from tests.rig import run, scripted_proxy
+
+REQUIRED = b"X-Trace-Id: 1\r\nX-Qos: read\r\nX-Expires-In: 5\r\n"
+REQUIRED_COUNT = 3
+
+
+@pytest.mark.parametrize("end", [b"", b"\r\n"])
+def test_a_head_of_very_many_short_fields_is_rejected_before_its_end(end: bytes) -> None:
+    async def test() -> None:
+        async with scripted_proxy() as (_, _script, rig):
+            caller = await rig.caller()
+            caller.writer.write(b"GET /read/1 HTTP/1.1\r\n" + REQUIRED + b"a:b\r\n" * 12_000 + end)
+            assert (await caller.answer()).status == 431
+            assert rig.budget.memory.by_kind[Held.INCOMPLETE_HEAD] < MAX_HEADER_FIELDS * HEADER_FIELD_OVERHEAD
+
+    run(test)
+
+
+def test_a_head_with_the_most_fields_is_served() -> None:
+    async def test() -> None:
+        async with scripted_proxy() as (backend, _script, rig):
+            caller = await rig.caller()
+            fields = b"a:b\r\n" * (MAX_HEADER_FIELDS - REQUIRED_COUNT)
+            caller.writer.write(b"GET /read/1 HTTP/1.1\r\n" + REQUIRED + fields + b"\r\n")
+            (await backend.next()).reply(200, b"served")
+            assert (await caller.answer()).body == b"served"
+
+    run(test)
+
+
+def test_an_answer_with_very_many_short_fields_is_an_error_of_its_server() -> None:
+    async def test() -> None:
+        async with scripted_proxy() as (backend, script, rig):
+            caller = await rig.caller()
+            caller.ask()
+            call = await backend.next()
+            call.writer.write(b"HTTP/1.1 200 OK\r\n" + b"a:b\r\n" * 12_000)
+            assert (await caller.answer()).status == 502
+            await asyncio.sleep(0)
+            assert [outcome.value for _, outcome, _ in script.outcomes()] == ["error"]
+
+    run(test)
