Proxy: pause a server as soon as its answer is not read

Cause: the connection of a client kept the event loop's high-water mark of 64 KiB, so up to 64 KiB and a read lay in its write buffer before the server was paused; nothing counted or limited it.

Change: a high-water mark of 0, as the connections to servers have it, so at most one read waits for each client.

--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -292,6 +292,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # With a high-water mark of 0, pause_writing is called whenever the socket does not take all.
+        self._transport.set_write_buffer_limits(high=0)
         self._read_timer = self._front.loop.call_later(READ_TIMEOUT_S, self._check_read_progress)
         self._front.opened(self)
 
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -8,12 +8,14 @@
 
 import pytest
 
+from proxy.flow import MAX_CHUNK
 from proxy.memory import HEADER_FIELD_OVERHEAD, Held
 from proxy.request_parser import MAX_HEADER_FIELDS
 from tests.rig import run, scripted_proxy
 
 REQUIRED = b"X-Trace-Id: 1\r\nX-Qos: read\r\nX-Expires-In: 5\r\n"
 REQUIRED_OF_PAY = REQUIRED.replace(b"read", b"pay")
+STABLE_LOOKS = 10
 REQUIRED_COUNT = 3
 OBJECTS = 30_000  # bytes of a test, its client and a connection
 
@@ -74,3 +76,21 @@
             assert taken < 2 * 20_000 * len(piece) + OBJECTS
 
     run(test)
+
+
+def test_an_answer_that_is_not_read_holds_no_more_than_what_was_read_at_once() -> None:
+    async def test() -> None:
+        async with scripted_proxy() as (backend, _script, rig):
+            caller = await rig.caller()
+            caller.reader._transport.pause_reading()  # type: ignore[attr-defined]
+            caller.ask()
+            call = await backend.next()
+            call.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n" + bytes(30_000_000))
+            held, unchanged = -1, 0
+            while unchanged < STABLE_LOOKS:
+                await asyncio.sleep(0.02)
+                unchanged = unchanged + 1 if rig.budget.memory.by_kind[Held.ANSWER] == held else 0
+                held = rig.budget.memory.by_kind[Held.ANSWER]
+            assert 0 < held <= MAX_CHUNK
+
+    run(test)
