Proxy: leave OpenSSL out of the process, and give back the memory of the start

Cause: uvloop imports the module ssl, and hashlib prefers OpenSSL, though the proxy speaks plain TCP only; and what the imports of the start leave free stays with the process.

Change: proxy/without_tls.py puts a stand-in with the names that uvloop 0.23 looks up in the place of ssl, in the proxy's own process alone and only if nothing has loaded it before; malloc_trim after the start.

--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -5,6 +5,9 @@
 
 from __future__ import annotations
 
+import proxy.without_tls  # noqa: F401  # before the event loops
+
+# isort: split
 import asyncio
 import gc
 import logging
@@ -23,6 +26,7 @@
 from proxy.frontend import Frontend, RequestReader
 from proxy.handover import Handover
 from proxy.lifecycle import LifeCycle, Phase
+from proxy.memory import release_free_memory
 from proxy.metrics import ProxyMetrics
 from proxy.proxy import Proxy
 from proxy.upstream import Descriptors
@@ -191,6 +195,7 @@
     # Avoids long pauses of the garbage collector: objects made during the start live for good, and few others are in
     # reference cycles.
     gc.collect()
+    release_free_memory()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     log.info("%s serves on %s:%d", config.name, *front.address())
--- a/proxy/memory.py
+++ b/proxy/memory.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import ctypes
 import math
 import os
+from contextlib import suppress
 from enum import Enum
 from pathlib import Path
 
@@ -74,3 +76,9 @@
         return int(STATM.read_text("ascii").split()[1]) * PAGE_SIZE
     except OSError:
         return math.nan
+
+
+def release_free_memory() -> None:
+    """Gives free memory back to the system, where the C library can do so: malloc_trim(3) of glibc."""
+    with suppress(OSError, AttributeError):
+        ctypes.CDLL(None).malloc_trim(0)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -12,6 +12,7 @@
 import pytest
 
 from mastlift.lab.addresses import free_port
+from proxy import without_tls
 from tests.rig import LANES, Caller, FakeServer, make_config, member, run, started
 
 ROOT = Path(__file__).parent.parent
@@ -136,3 +137,28 @@
         assert await process.wait() == 0
 
     run(test)
+
+
+def test_a_proxy_does_not_load_openssl(tmp_path: Path) -> None:
+    async def test() -> None:
+        process = await launch(json.dumps(make_config(f"127.0.0.1:{free_port()}", "127.0.0.1:1")), tmp_path)
+        await until_serving(process)
+        maps = Path(f"/proc/{process.pid}/maps").read_text()
+        assert "uvloop" in maps
+        assert "libssl" not in maps
+        assert "libcrypto" not in maps
+        process.terminate()
+        await process.wait()
+
+    run(test)
+
+
+def test_the_stand_in_for_tls_leaves_a_loaded_module_alone() -> None:
+    import ssl
+
+    before = sys.modules["ssl"], sys.modules.get("_hashlib")
+    without_tls.install()
+    assert (sys.modules["ssl"], sys.modules.get("_hashlib")) == before
+    assert ssl.SSLContext.__module__ == "ssl"
+    with pytest.raises(RuntimeError):
+        without_tls.create_default_context()
