Proxy: release connections to servers that never came up without the garbage collector

Cause: a connection that is given up cancels its connect task and keeps it; the task keeps its exception, whose traceback holds the frame with the connection. Such a cycle waits for the garbage collector, which runs rarely here.

Change: the connection lets go of the task.

--- a/proxy/upstream.py
+++ b/proxy/upstream.py
@@ -513,6 +513,7 @@
             self._transport.abort()
         elif self._connect_task is not None:
             self._connect_task.cancel()
+            self._connect_task = None  # breaks the reference cycle with the task's exception
 
     def _stop_timer(self) -> None:
         if self.idle_timer is not None:
--- a/tests/test_reference_cycles.py
+++ b/tests/test_reference_cycles.py
@@ -9,8 +9,9 @@
 
 import pytest
 
+from mastlift.lab.clientcrowd import Unreachable
 from proxy.upstream import MIN_IDLE_S
-from tests.rig import FakeServer, Rig, member, run, scripted_proxy
+from tests.rig import FakeServer, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_frontend import BAD_INPUT, GOOD, head
 
 ROUNDS = 5
@@ -114,3 +115,37 @@
             assert living()["WatchConnection"] == 1
 
     run(test)
+
+
+@pytest.mark.parametrize("end", ["the client leaves", "the connect timeout"])
+def test_connections_that_never_come_up_leave_no_reference_cycles(end: str) -> None:
+    """Each left its request in a cycle with the error of its task: hundreds while servers are out of reach."""
+
+    async def test() -> None:
+        nowhere = Unreachable()
+        timeout_ms = 50.0 if end == "the connect timeout" else 5000.0
+        with Script().installed() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", nowhere.address), limits={"connect_timeout_ms": timeout_ms})
+
+        async def ask() -> None:
+            caller = await rig.caller()
+            caller.ask()
+            if end == "the connect timeout":
+                await caller.answer()
+            else:
+                await asyncio.sleep(0.02)
+            caller.writer.close()
+            while rig.front.connections or rig.proxy.has_open_requests():
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.02)
+
+        await ask()
+        before = living()
+        for _ in range(ROUNDS):
+            await ask()
+        left = living() - before
+        await nowhere.stop()
+        assert not left, dict(left)
+
+    run(test)
