Proxy: one limit on all memory that is held for peers

Cause: only the bytes of buffered bodies had a limit. Uncounted: the first 64 KiB of a long body that waits for its server; heads; input behind MAX_PIPELINED; answers that are not read (60 kB each where a client sends many requests); what a slow server has not taken; the connections and open requests themselves, some 15 kB for each request that is streamed. Each is small for one peer, and nothing bounded their sum. Class: a limit for each peer, or on one kind, taken for a limit on the process.

Change: all that is held is charged to the connection that it is held for, with estimates for the objects, and the sum has a limit of 0.6 of what the settings leave beside the process after its start. Nearing it, less is read at a time (a long body streams from its first read on, short answers too where the answers to all open requests had no room); above three quarters no long body is begun; above it new requests are refused and, of those still being received that no server has any of, the largest go first, so a sound small request is the last. Sent input, begun answers and begun uploads are never cut for it. Near the limit the C library gives free memory back.

One bound of a test follows: buffered bodies share the one limit, the test of it sets that one and asserts the same refusal and the same bytes.

--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -26,7 +26,7 @@
 from proxy.frontend import Frontend, RequestReader
 from proxy.handover import Handover
 from proxy.lifecycle import LifeCycle, Phase
-from proxy.memory import release_free_memory
+from proxy.memory import release_free_memory, resident_bytes
 from proxy.metrics import ProxyMetrics
 from proxy.proxy import Proxy
 from proxy.upstream import Descriptors
@@ -111,7 +111,6 @@
         self._sockets = config.sockets
         self._limit_alone = front.descriptors.limit
         self._set_aside = config.sockets - self._limit_alone  # reserved, e.g. for discovery and the admin endpoint
-        self._memory = front.budget.total
         self._has_yielded = False
         handover.export_state = proxy.learned
         handover.on_peers_read = self._on_peers_read
@@ -127,7 +126,7 @@
                 else "the newer process has ended or left: this process serves all clients again"
             )
             self._proxy.set_yielded(self._has_yielded)
-        self._front.budget.total = self._memory // (2 if self._handover.peers else 1)
+        self._front.budget.divide(2 if self._handover.peers else 1)
         self._front.descriptors.limit = limit = self._descriptors()
         self._handover.set_descriptors(limit + self._set_aside)
 
@@ -196,6 +195,7 @@
     # reference cycles.
     gc.collect()
     release_free_memory()
+    budget.set_resident(resident_bytes())
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     log.info("%s serves on %s:%d", config.name, *front.address())
--- a/proxy/flow.py
+++ b/proxy/flow.py
@@ -5,15 +5,15 @@
 from collections import deque
 from collections.abc import Callable
 
-from proxy.memory import Held, HeldMemory, MemoryAccount
+from proxy.memory import MB, Held, HeldMemory, MemoryAccount, held_limit
 
 MAX_BUFFERED_BODY = 64 * 1024  # bytes; a body up to this size is buffered completely and can be sent again
 MAX_BODY = 32 << 20  # bytes
 BODY_STALL_TIMEOUT_S = 20.0  # a peer that makes no progress with a body for this long counts as dead
-MAX_CHUNK, MIN_CHUNK = 64 * 1024, 8 * 1024  # bytes per read
+MAX_CHUNK, MIN_CHUNK = 64 * 1024, 2 * 1024  # bytes per read
 CHUNKS_PER_BODY = 4  # chunks of a body in memory at most: being read, unsent, in the outgoing connection's buffer
-BODY_MEMORY_SHARE = 0.125  # share of the process's memory limit that bodies may use
-MB = 1_000_000
+BODY_MEMORY_SHARE = 0.125  # share of the process's memory limit that streamed bodies may use
+STREAMED_SHARE = 0.5  # of the limit on all that is held; the upper limit of the share above
 
 _read_buffer = memoryview(bytearray(MAX_CHUNK))  # shared by all connections: each read is consumed before the next
 
@@ -22,9 +22,28 @@
     """Limits the memory of all bodies in the process; there is one instance per process."""
 
     def __init__(self, memory_mb: float) -> None:
-        self.total = int(memory_mb * MB * BODY_MEMORY_SHARE)
-        self.streaming = 0  # number of bodies that are being streamed, and of connections with unparsed data
+        self._memory_mb = memory_mb
+        self._resident = 0.0  # bytes
+        self._processes = 1
         self.memory = HeldMemory()
+        self.total = 0  # bytes of streamed bodies
+        self._set_limits()
+        self.streaming = 0  # number of bodies that are being streamed, and of connections with unparsed data
+
+    def set_resident(self, resident: float) -> None:
+        """States how many bytes the process takes before the first client; NaN if that is not known."""
+        self._resident = resident
+        self._set_limits()
+
+    def divide(self, processes: int) -> None:
+        """States how many processes share the memory."""
+        self._processes = processes
+        self._set_limits()
+
+    def _set_limits(self) -> None:
+        memory_mb = self._memory_mb / self._processes
+        self.memory.limit = held_limit(memory_mb, self._resident)
+        self.total = int(min(memory_mb * MB * BODY_MEMORY_SHARE, STREAMED_SHARE * self.memory.limit))
 
     @property
     def held(self) -> int:
@@ -32,11 +51,22 @@
         return self.memory.by_kind[Held.BODY]
 
     def chunk_size(self) -> int:
-        """Bytes to read at a time from each connection; the more bodies are streamed, the fewer."""
-        return min(max(self.total // (CHUNKS_PER_BODY * (self.streaming + 1)), MIN_CHUNK), MAX_CHUNK)
-
-    def has_room(self) -> bool:
-        return self.held <= self.total
+        """Bytes to read at a time from each connection; the more bodies are streamed or may come, the fewer."""
+        if self.memory.is_tight():
+            return MIN_CHUNK
+        bodies = self.streaming + self.memory.open_requests() + 1
+        return min(max(self.total // (CHUNKS_PER_BODY * bodies), MIN_CHUNK), MAX_CHUNK)
+
+    def answer_limit(self) -> int:
+        """Bytes up to which an answer is passed on whole: less where the answers to all open requests had no room."""
+        share = int(self.memory.free() / (self.memory.open_requests() + 1))
+        return min(max(share, MIN_CHUNK), MAX_BUFFERED_BODY)
+
+    def stream_threshold(self, length: int | None) -> int:
+        """Bytes of a body that are buffered before it is streamed; a body that may end before is sent as a whole."""
+        if length is None or length <= MAX_BUFFERED_BODY:
+            return MAX_BUFFERED_BODY
+        return min(MAX_BUFFERED_BODY, self.chunk_size())
 
     def read_buffer(self) -> memoryview:
         return _read_buffer[: self.chunk_size()]
--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -8,7 +8,6 @@
 import select
 import socket
 import time
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -17,9 +16,9 @@
 from balancing.api import Effect
 from proxy.clock import has_elapsed
 from proxy.config import Address, NodeConfig, method_of
-from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, BodyBudget, RequestBodyStream
+from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, MIN_CHUNK, BodyBudget, RequestBodyStream
 from proxy.lifecycle import LifeCycle
-from proxy.memory import Held, MemoryAccount
+from proxy.memory import CLIENT_CONNECTION_BYTES, OPEN_REQUEST_BYTES, Held, MemoryAccount
 from proxy.metrics import ProxyMetrics
 from proxy.request_parser import (
     MAX_HEAD,
@@ -249,6 +248,48 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """One connection of a client: parses its requests and writes their answers in the order of the requests."""
 
+    __slots__ = (
+        "__weakref__",
+        "_account",
+        "_body",
+        "_body_length",
+        "_body_size",
+        "_continue_pending",
+        "_eof_check",
+        "_front",
+        "_head_ended_at",
+        "_in_request",
+        "_incoming",
+        "_incomplete_head_size",
+        "_input",
+        "_is_chunked",
+        "_is_half_closed",
+        "_is_parse_scheduled",
+        "_is_state_unknown",
+        "_is_writing_paused",
+        "_last_read_at",
+        "_linger_timer",
+        "_linger_until",
+        "_parser",
+        "_paused_at",
+        "_pipelined",
+        "_read_timer",
+        "_reading_paused",
+        "_received",
+        "_received_at",
+        "_request_began_at",
+        "_reset_probe_sent",
+        "_send_progress",
+        "_source",
+        "_stall_timer",
+        "_transport",
+        "_unparsed",
+        "idle_since",
+        "is_new",
+        "lingering_since",
+        "request",
+    )
+
     def __init__(self, front: Frontend) -> None:
         self._front = front
         self._transport: asyncio.Transport | None = None
@@ -268,7 +309,7 @@
         self.idle_since = self._request_began_at = self._last_read_at = front.loop.time()
         self._head_ended_at = 0.0  # on the loop's clock
         self._account = MemoryAccount(front.budget.memory)
-        self._pipelined: deque[ClientRequest] = deque()
+        self._pipelined: list[ClientRequest] = []  # at most MAX_PIPELINED
         self._reading_paused = False
         self._paused_at = 0.0
         self._is_writing_paused = False  # the write buffer is full: the client does not read its answers
@@ -292,8 +333,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # With a high-water mark of 0, pause_writing is called whenever the socket does not take all.
-        self._transport.set_write_buffer_limits(high=0)
+        self._transport.set_write_buffer_limits(high=MIN_CHUNK)
+        self._account.add(Held.CONNECTION, CLIENT_CONNECTION_BYTES)
         self._read_timer = self._front.loop.call_later(READ_TIMEOUT_S, self._check_read_progress)
         self._front.opened(self)
 
@@ -308,6 +349,8 @@
         self._set_unparsed(self._unparsed + self._front.budget.read_buffer()[:nbytes])
         self._parse()
         self._process_next()
+        if self._in_request and self._front.budget.memory.is_over():
+            self._front.relieve_memory()
 
     def _parse(self) -> None:
         """Parses what was received, until MAX_PIPELINED requests wait to be answered."""
@@ -392,7 +435,6 @@
     def pause_writing(self) -> None:
         """Applies back-pressure: without it, answers to a client that sends requests but reads nothing fill memory."""
         self._is_writing_paused = True
-        self._count_unsent()
         if self._source is not None:
             self._source.pause()
             self._stop_stall_timer()
@@ -402,10 +444,12 @@
         self._front.metrics.closed.add(CloseReason.UNREAD_ANSWER.value)
         self.abort_answer()
 
-    def _count_unsent(self) -> None:
-        """Counts the answers that the client has not taken; small ones that the socket took at once need no count."""
-        if self._is_writing_paused and self._transport is not None:
-            self._account.set(Held.ANSWER, self._transport.get_write_buffer_size())
+    def _write(self, data: bytes) -> None:
+        """Writes to the client, and counts what it does not take: the event loop keeps all of the data until then."""
+        assert self._transport is not None
+        self._transport.write(data)
+        if self._is_writing_paused:
+            self._account.set(Held.ANSWER, max(self._transport.get_write_buffer_size(), len(data)))
 
     def resume_writing(self) -> None:
         self._is_writing_paused = False
@@ -574,15 +618,15 @@
             return
         self._body += body
         self._adjust_held(len(body))
-        if self._body_size > MAX_BUFFERED_BODY:
+        if self._body_size > self._front.budget.stream_threshold(self._body_length):
             self._begin_streaming(request)
-        elif not self._front.budget.has_room():
-            raise BadRequest(503, "no memory is left for the body")
 
     def _begin_streaming(self, request: ClientRequest) -> None:
         """Switches a body that is too long to buffer to streaming: its request is handled before it is complete."""
         if request.rejection is not None or request.is_up_check:
             raise BadRequest(*(request.rejection or (413, "no body is wanted")))
+        if self._front.budget.memory.is_tight():
+            raise BadRequest(503, "no memory is left for a long body")
         body, self._body = bytes(self._body), bytearray()
         self._adjust_held(-self._body_size)
         request.body_stream = RequestBodyStream(
@@ -619,7 +663,7 @@
         cannot keep the others waiting.
         """
         while self.request is None and self._pipelined and not self._is_writing_paused and not self._is_closing():
-            request = self.request = self._pipelined.popleft()
+            request = self.request = self._pipelined.pop(0)
             if request.read_by is not None and request.read_by is not self._front.reader:
                 self._read_headers(request)  # the settings were reloaded since
             if request.rejection is not None:
@@ -632,6 +676,7 @@
             elif self._front.is_over_limit():
                 self.answer(503, self._front.reader.busy_headers, b"")
             else:
+                self._account.set(Held.REQUEST, OPEN_REQUEST_BYTES)
                 self._front.handler.handle_request(self, request)
         if self._unparsed and self._can_parse() and not self._is_parse_scheduled:
             self._is_parse_scheduled = True
@@ -680,7 +725,7 @@
             return
         keep = self._keeps_alive(request)
         length = b"Content-Length: %d\r\n" % len(body)
-        self._transport.write(self._head(status, headers, length, keep, request.is_http10) + body)
+        self._write(self._head(status, headers, length, keep, request.is_http10) + body)
         self._after_answer(keep, request.is_body_incomplete())
 
     def begin_answer(self, headers: Headers, length: int | None, source: Source) -> bool:
@@ -704,20 +749,19 @@
             else b""
         )
         request.keep_alive = self._keeps_alive(request)  # fixed here, because the head announces it
-        self._transport.write(self._head(200, headers, framing, request.keep_alive, request.is_http10))
+        self._write(self._head(200, headers, framing, request.keep_alive, request.is_http10))
         return True
 
     def forward(self, data: bytes) -> None:
         if data and self._source is not None and self._transport is not None and not self._is_closing():
-            self._transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self._is_chunked else data)
-            self._count_unsent()
+            self._write(b"%x\r\n%s\r\n" % (len(data), data) if self._is_chunked else data)
 
     def end_answer(self) -> None:
         request = self._finish_request()
         if request is None or self._transport is None or self._is_closing():
             return
         if self._is_chunked:
-            self._transport.write(b"0\r\n\r\n")
+            self._write(b"0\r\n\r\n")
         self._after_answer(self._keeps_alive(request))
 
     def abort_answer(self) -> None:
@@ -731,6 +775,7 @@
         request, self.request = self.request, None
         self._source = None
         self._stop_stall_timer()
+        self._account.set(Held.REQUEST, 0)
         if request is not None:
             self._adjust_held(-len(request.body))
             self._account.add(Held.HEAD, -request.held_head_bytes)
@@ -772,6 +817,7 @@
         self._input = Input.UNWANTED
         self._in_request = self.is_new = self._continue_pending = False
         self._front.metrics.rejected.add(str(rejection.status))
+        self._parser.release_head()
         self._set_unparsed(b"")
         self._account.set(Held.INCOMPLETE_HEAD, 0)
         incoming, self._incoming = self._incoming, None
@@ -874,6 +920,22 @@
             return False
         return not self._poll(select.POLLIN)
 
+    def can_refuse_incoming(self) -> bool:
+        """A request is still being received, and no server has any of it: refusing it does no harm."""
+        if not self._in_request or self._is_closing():
+            return False
+        stream = self._incoming.body_stream if self._incoming is not None else None
+        return stream is None or not stream.sending_started
+
+    def refuse_incoming(self) -> None:
+        """Refuses the request that is being received, and releases what is held of it."""
+        self._reject_input(Rejection(503, "no memory is left"))
+        self._process_next()
+
+    def held_bytes(self) -> int:
+        """The memory that is held for this connection."""
+        return self._account.total
+
     def state(self) -> ConnectionState:
         """For metrics and log lines."""
         if self._is_closing():
@@ -1095,6 +1157,18 @@
             or self._close_stalled()
         )
 
+    def relieve_memory(self) -> None:
+        """Refuses requests that are still being received, those that hold most first, until enough memory is free."""
+        excess = self.budget.memory.excess()
+        receiving = [connection for connection in self.connections if connection.can_refuse_incoming()]
+        receiving.sort(key=ClientConnection.held_bytes, reverse=True)
+        for connection in receiving:
+            if excess <= 0.0:
+                return
+            before = connection.held_bytes()
+            connection.refuse_incoming()
+            excess -= before - connection.held_bytes()
+
     def _close_lingering(self) -> bool:
         now = self.loop.time()
         for oldest in self.lingering:
@@ -1143,4 +1217,5 @@
         self.released(connection)
 
     def is_over_limit(self) -> bool:
-        return self.descriptors.used > self.descriptors.limit
+        """No further request can be taken up, for want of descriptors or memory."""
+        return self.descriptors.used > self.descriptors.limit or self.budget.memory.is_over()
--- a/proxy/memory.py
+++ b/proxy/memory.py
@@ -11,13 +11,26 @@
 
 STATM = Path("/proc/self/statm")  # proc(5): sizes in pages; the second is the resident set
 PAGE_SIZE = os.sysconf("SC_PAGE_SIZE")
-# Bytes of the objects that hold one header field, beside its text: a tuple, two byte strings, a place in a list.
-HEADER_FIELD_OVERHEAD = 180
+MB = 1_000_000  # bytes, as in the settings
+# Of what the process has left after its start. The rest is for what is not counted here: the allocator's gaps, lists of
+# servers, the balancer's figures, objects that are about to be released.
+HELD_SHARE = 0.6
+SMALLEST_LIMIT = 1_000_000  # bytes held, where the start has taken nearly all
+TIGHT_SHARE = 0.75  # of the limit; above it no long body is begun, and answers are passed on in small pieces
+RELIEVED_SHARE = 0.9  # of the limit; requests that are still received are refused until no more than that is held
+# Bytes of objects of the program, the event loop and the parsers.
+REQUEST_HEAD_OVERHEAD = 700  # of a request that waits or is open, beside its header fields
+HEADER_FIELD_OVERHEAD = 180  # beside its text: a tuple, two byte strings, a place in a list
+CLIENT_CONNECTION_BYTES = 3_500
+SERVER_CONNECTION_BYTES = 5_000
+OPEN_REQUEST_BYTES = 6_000
 
 
 class Held(Enum):
     """What memory is held for; the values are labels of metrics and of log lines."""
 
+    CONNECTION = "connections"
+    REQUEST = "open_requests"
     HEAD = "request_heads"
     INCOMPLETE_HEAD = "incomplete_request_heads"
     INPUT = "unparsed_input"
@@ -29,18 +42,46 @@
 
 
 class HeldMemory:
-    """The sums over all connections of the process."""
+    """The sums over all connections of the process, and the limit on them."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: float = math.inf) -> None:
+        self.limit = limit  # bytes
         self.total = 0  # bytes
         self.by_kind = dict.fromkeys(Held, 0)  # bytes
 
+    def is_over(self) -> bool:
+        """Nothing more is taken up, and requests that are still received are refused."""
+        return self.total > self.limit
+
+    def is_tight(self) -> bool:
+        """Little is left below the limit."""
+        return self.free() < 0.0
+
+    def free(self) -> float:
+        """Bytes that are left until memory is tight; below 0 if it is."""
+        return TIGHT_SHARE * self.limit - self.total
+
+    def open_requests(self) -> int:
+        """The number of requests that are being handled."""
+        return self.by_kind[Held.REQUEST] // OPEN_REQUEST_BYTES
+
+    def excess(self) -> float:
+        """Bytes to release until enough is free for requests to come."""
+        return self.total - RELIEVED_SHARE * self.limit
+
     def text(self) -> str:
         """What is held, by kind, for a log line; the largest first."""
         held = sorted(self.by_kind.items(), key=lambda item: -item[1])
         return ", ".join(f"{kind.value} {size}" for kind, size in held if size) or "nothing"
 
 
+def held_limit(memory_mb: float, resident: float) -> float:
+    """Bytes that may be held for peers by a process with this limit on its memory and this resident set after its
+    start, which may be unknown (NaN)."""
+    left = memory_mb * MB - (0.0 if math.isnan(resident) else resident)
+    return max(HELD_SHARE * left, SMALLEST_LIMIT)
+
+
 class MemoryAccount:
     """What is held for one connection."""
 
--- a/proxy/request_parser.py
+++ b/proxy/request_parser.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from proxy.memory import HEADER_FIELD_OVERHEAD
+from proxy.memory import HEADER_FIELD_OVERHEAD, REQUEST_HEAD_OVERHEAD
 
 MAX_HEAD = 64 * 1024  # bytes of a request's head
 MAX_HEADER_FIELDS = 256  # of a head; a short field takes many times its bytes
@@ -58,7 +58,7 @@
     def held_bytes(self) -> int:
         """The memory that it takes, in bytes."""
         text = len(self.target) + sum(len(name) + len(value) for name, value in self.headers)
-        return text + HEADER_FIELD_OVERHEAD * len(self.headers)
+        return REQUEST_HEAD_OVERHEAD + text + HEADER_FIELD_OVERHEAD * len(self.headers)
 
 
 class RequestReceiver(Protocol):
@@ -111,6 +111,12 @@
         """The memory that the head of the current message takes, in bytes."""
         return self._head_size + HEADER_FIELD_OVERHEAD * len(self._headers)
 
+    def release_head(self) -> None:
+        """Releases what was kept of the current message's head; no data may follow."""
+        self._target.clear()
+        self._headers = []
+        self._head_size = 0
+
     def close(self) -> None:
         """Breaks the reference cycles with httptools and the receiver, which would delay the release of a body."""
         del self._parser, self._receiver, self.on_body
--- a/proxy/upstream.py
+++ b/proxy/upstream.py
@@ -21,7 +21,7 @@
 from proxy.clock import has_elapsed
 from proxy.config import Address
 from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, BodyBudget, RequestBodyStream
-from proxy.memory import Held, MemoryAccount
+from proxy.memory import SERVER_CONNECTION_BYTES, Held, MemoryAccount
 from proxy.metrics import ProxyMetrics
 from proxy.request_parser import MAX_HEAD, MAX_HEADER_FIELDS
 
@@ -154,6 +154,38 @@
 class Connection(asyncio.BufferedProtocol):
     """A connection to a backend, which carries one exchange after the other."""
 
+    __slots__ = (
+        "__weakref__",
+        "_account",
+        "_answer",
+        "_body",
+        "_connect_task",
+        "_headers",
+        "_in_head",
+        "_length",
+        "_parser",
+        "_paused",
+        "_progress_at",
+        "_reading_paused",
+        "_received",
+        "_reusable",
+        "_sent_end",
+        "_sink",
+        "_size",
+        "_stall_timer",
+        "_stream_complete",
+        "_transport",
+        "_until_close",
+        "_write_started",
+        "address",
+        "closed",
+        "exchange",
+        "idle_since",
+        "idle_timer",
+        "pool",
+        "server",
+    )
+
     def __init__(self, pool: Pool, server: str, address: Address, exchange: Exchange) -> None:
         self.pool = pool
         self.server = server
@@ -167,6 +199,7 @@
         self._write_started = self._paused = False
         self._sent_end = True  # whether the end of a streamed request body has been written
         self._account = MemoryAccount(pool.budget.memory)
+        self._account.add(Held.CONNECTION, SERVER_CONNECTION_BYTES)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
         self._size = self._received = 0
@@ -253,7 +286,7 @@
         self._write_started = True
         self._answer = None
         self._sent_end = exchange.body is None
-        self._transport.write(exchange.payload())
+        self._write_out(exchange.payload())
         if self._transport.is_closing():
             # The first write failed, so the kernel accepted no byte.
             self._write_started = False
@@ -262,6 +295,13 @@
             self._start_stall_timer()
             exchange.body.attach(self._send_body)
 
+    def _write_out(self, data: bytes) -> None:
+        """Writes to the backend, and counts what it does not take: the event loop keeps all of the data until then."""
+        assert self._transport is not None
+        self._transport.write(data)
+        if self._paused:
+            self._account.set(Held.SERVER_REQUEST, max(self._transport.get_write_buffer_size(), len(data)))
+
     def _send_body(self) -> None:
         """Writes the received part of a long request body, as fast as the backend accepts it."""
         exchange, transport = self.exchange, self._transport
@@ -272,7 +312,7 @@
         ends = body.ended and not body.unsent_bytes
         if data:
             self._progress_at = self.pool.loop.time()
-            transport.write(b"%x\r\n%s\r\n" % (len(data), data) if body.length is None else data)
+            self._write_out(b"%x\r\n%s\r\n" % (len(data), data) if body.length is None else data)
         if ends and self.exchange is exchange:
             self._sent_end = True
             if body.length is None:
@@ -287,8 +327,6 @@
 
     def pause_writing(self) -> None:
         self._paused = True
-        assert self._transport is not None
-        self._account.set(Held.SERVER_REQUEST, self._transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         self._paused = False
@@ -366,7 +404,7 @@
             return
         self._body += body
         self._account.set(Held.SERVER_ANSWER, self._size)
-        if max(self._size, self._length or 0) > MAX_BUFFERED_BODY:
+        if max(self._size, self._length or 0) > self.pool.budget.answer_limit():
             self._start_stream()
 
     def _start_stream(self) -> None:
--- a/proxy/usage.py
+++ b/proxy/usage.py
@@ -1,4 +1,4 @@
-"""A log line about memory and connections whenever a large part of the memory limit is in use."""
+"""Watches the resident memory: near the limit, free memory is given back and there is a log line."""
 
 from __future__ import annotations
 
@@ -6,16 +6,15 @@
 import logging
 from collections import Counter
 
-from proxy.flow import MB
 from proxy.frontend import Frontend
-from proxy.memory import HeldMemory, resident_bytes
+from proxy.memory import MB, HeldMemory, release_free_memory, resident_bytes
 from proxy.metrics import ProxyMetrics
 
 log = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S = 0.25
 LOG_INTERVAL_S = 1.0
-LOGGED_SHARE = 0.9  # of the memory limit; from there on each interval has a line
+HIGH_SHARE = 0.85  # of the memory limit; from there on the C library's free memory is given back
 
 
 class UsageLog:
@@ -69,13 +68,19 @@
         self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
         resident = resident_bytes()
         self._highest = max(self._highest, resident)
+        if resident >= HIGH_SHARE * self._limit:
+            self._log(resident)
+            release_free_memory()
+
+    def _log(self, resident: float) -> None:
         now = self._loop.time()
-        if resident >= LOGGED_SHARE * self._limit and now - self._logged_at >= LOG_INTERVAL_S:
-            self._logged_at = now
-            log.warning(
-                "%.1f MB of memory in use of %.1f; client connections: %s; bytes held: %s",
-                resident / MB,
-                self._limit / MB,
-                ", ".join(f"{state} {count}" for state, count in sorted(self._connections().items())) or "none",
-                self._memory.text(),
-            )
+        if now - self._logged_at < LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        log.warning(
+            "%.1f MB of memory in use of %.1f; client connections: %s; bytes held: %s",
+            resident / MB,
+            self._limit / MB,
+            ", ".join(f"{state} {count}" for state, count in sorted(self._connections().items())) or "none",
+            self._memory.text(),
+        )
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -521,7 +521,7 @@
 
     async def test() -> None:
         rig = await Rig().start(limits={"retry_after": True})
-        rig.budget.total = 30_000
+        rig.budget.memory.limit = 40_000
         callers = [await rig.caller() for _ in range(2)]
         for caller in callers:
             caller.writer.write(post("Content-Length: 40000", body=bytes(20_000)))
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -4,18 +4,30 @@
 
 import asyncio
 import gc
+import math
 import tracemalloc
 
 import pytest
 
-from proxy.flow import MAX_CHUNK
-from proxy.memory import HEADER_FIELD_OVERHEAD, Held
+from balancing import api
+from proxy.flow import MAX_BUFFERED_BODY, MAX_CHUNK, MIN_CHUNK, BodyBudget
+from proxy.memory import (
+    HEADER_FIELD_OVERHEAD,
+    HELD_SHARE,
+    MB,
+    OPEN_REQUEST_BYTES,
+    SMALLEST_LIMIT,
+    Held,
+    MemoryAccount,
+    held_limit,
+)
 from proxy.request_parser import MAX_HEADER_FIELDS
-from tests.rig import run, scripted_proxy
+from tests.rig import Rig, Script, run, scripted_proxy
 
 REQUIRED = b"X-Trace-Id: 1\r\nX-Qos: read\r\nX-Expires-In: 5\r\n"
 REQUIRED_OF_PAY = REQUIRED.replace(b"read", b"pay")
 STABLE_LOOKS = 10
+WAITING = 20  # clients
 REQUIRED_COUNT = 3
 OBJECTS = 30_000  # bytes of a test, its client and a connection
 
@@ -94,3 +106,102 @@
             assert 0 < held <= MAX_CHUNK
 
     run(test)
+
+
+def test_the_request_that_holds_most_is_refused_first_when_memory_runs_out() -> None:
+    async def test() -> None:
+        async with scripted_proxy() as (backend, _script, rig):
+            large, small, sound = [await rig.caller() for _ in range(3)]
+            for caller, size in ((small, 10_000), (large, 40_000)):
+                caller.writer.write(post_head(size + 1) + bytes(size))
+                while rig.budget.held < size:
+                    await asyncio.sleep(0.005)
+            rig.budget.memory.limit = rig.budget.memory.total + 1_000
+            small.writer.write(bytes(1))
+            (await backend.next()).reply(200, b"small")
+            assert (await small.answer()).body == b"small"
+            sound.writer.write(post_head(20_000) + bytes(15_000))
+            assert (await large.answer()).status == 503
+            sound.writer.write(bytes(5_000))
+            (await backend.next()).reply(200, b"sound")
+            assert (await sound.answer()).body == b"sound"
+
+    run(test)
+
+
+def test_no_long_body_is_begun_while_memory_is_tight() -> None:
+    async def test() -> None:
+        async with scripted_proxy() as (_, script, rig):
+            caller = await rig.caller()
+            rig.budget.memory.limit = 100_000
+            caller.writer.write(post_head(3_000_000) + bytes(100_000))
+            assert (await caller.answer()).status == 503
+            assert not any(isinstance(event, api.RequestArrived) for event in script.events)
+
+    run(test)
+
+
+def test_requests_are_refused_while_too_much_memory_is_held_and_served_after_that() -> None:
+    async def test() -> None:
+        async with scripted_proxy() as (backend, _script, rig):
+            caller, other = await rig.caller(), await rig.caller()
+            caller.ask()
+            call = await backend.next()
+            rig.budget.memory.limit = rig.budget.memory.total - 1
+            other.ask()
+            assert (await other.answer()).status == 503
+            call.reply(200, b"served")
+            assert (await caller.answer()).body == b"served"
+            other.ask()
+            (await backend.next()).reply(200, b"served")
+            assert (await other.answer()).body == b"served"
+
+    run(test)
+
+
+def test_a_long_body_that_waits_for_a_server_holds_little_where_many_do() -> None:
+    async def test() -> None:
+        with Script().installed():
+            rig = await Rig().start()
+            rig.budget.total = 100_000
+            callers = [await rig.caller() for _ in range(WAITING)]
+            for caller in callers:
+                caller.writer.write(post_head(3_000_000) + bytes(100_000))
+            while rig.budget.streaming < WAITING:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            assert rig.budget.memory.by_kind[Held.STREAM] < WAITING * MAX_BUFFERED_BODY / 4
+
+    run(test)
+
+
+def test_short_answers_pass_in_pieces_where_the_answers_to_all_requests_have_no_room() -> None:
+    budget = BodyBudget(16.0)
+    account = MemoryAccount(budget.memory)
+    assert budget.answer_limit() == MAX_BUFFERED_BODY
+    for _ in range(400):
+        account.add(Held.REQUEST, OPEN_REQUEST_BYTES)
+        account.add(Held.ANSWER, 20_000)
+        assert budget.answer_limit() * (budget.memory.open_requests() + 1) <= max(
+            budget.memory.free(), MIN_CHUNK * (budget.memory.open_requests() + 1)
+        )
+    assert budget.answer_limit() == MIN_CHUNK
+
+
+def test_two_processes_that_share_the_memory_hold_half_of_it_each() -> None:
+    budget = BodyBudget(192.0)
+    budget.set_resident(20 * MB)
+    alone = budget.memory.limit
+    budget.divide(2)
+    assert budget.memory.limit == pytest.approx(HELD_SHARE * (96 - 20) * MB)
+    budget.divide(1)
+    assert budget.memory.limit == alone
+
+
+def test_an_unknown_or_large_resident_set_leaves_a_limit() -> None:
+    assert held_limit(32.0, math.nan) == HELD_SHARE * 32 * MB
+    assert held_limit(32.0, 40.0 * MB) == SMALLEST_LIMIT
+
+
+def post_head(size: int) -> bytes:
+    return b"POST /pay/1 HTTP/1.1\r\n" + REQUIRED_OF_PAY + b"Content-Length: %d\r\n\r\n" % size
