Lab: one client that sends at full speed, beside sound ones

Six kinds of flood on one connection: proper requests, probes, improper requests, ever new names of class, tenant and field, ever new tenants, tiny chunks.

--- a/mastlift/lab/clientcrowd.py
+++ b/mastlift/lab/clientcrowd.py
@@ -34,6 +34,7 @@
 LONG_ANSWER = 8_000_000  # bytes
 LONG_BODY = 3_000_000  # bytes
 PIECE = 8_192  # bytes that servers write and read at once
+BURST = 200  # requests that are written at once
 STREAM_LIMIT = 1 << 20  # bytes of a head that a server takes
 RECEIVE_BUFFER = 4_096  # bytes, of clients that read slowly
 LANES = [
@@ -139,6 +140,57 @@
     await client.hold()
 
 
+async def _flood(client: CrowdClient, burst: Callable[[], bytes]) -> None:
+    """Sends bursts at full speed and reads what comes, without a look at it."""
+    reading = asyncio.create_task(client.read_slowly(1 << 16, 0.0))
+    try:
+        while True:
+            await client.send(burst())
+    finally:
+        reading.cancel()
+
+
+async def _flood_of_proper_requests(client: CrowdClient) -> None:
+    await _flood(client, lambda: b"".join(request_head("GET", "/read/1", CROWD_DEADLINE_S) for _ in range(BURST)))
+
+
+async def _flood_of_probes(client: CrowdClient) -> None:
+    await _flood(client, lambda: b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n" * BURST)
+
+
+async def _flood_of_improper_requests(client: CrowdClient) -> None:
+    await _flood(client, lambda: b"GET / HTTP/1.1\r\n\r\n" * BURST)
+
+
+async def _flood_of_new_names(client: CrowdClient) -> None:
+    """Each request names another class, tenant and header field."""
+
+    def burst() -> bytes:
+        names = [f"{random.getrandbits(64):016x}" for _ in range(BURST)]
+        return b"".join(
+            request_head("GET", f"/{name}/1", CROWD_DEADLINE_S, f"X-Qos: {name}", f"X-Customer: {name}", f"X-{name}: 1")
+            for name in names
+        )
+
+    await _flood(client, burst)
+
+
+async def _flood_of_new_tenants(client: CrowdClient) -> None:
+    """Each request is proper, of a tenant that no other one has."""
+    await _flood(
+        client,
+        lambda: b"".join(
+            request_head("GET", f"/read/{number}", CROWD_DEADLINE_S, f"X-Customer: {random.getrandbits(64):016x}")
+            for number in range(BURST)
+        ),
+    )
+
+
+async def _flood_of_tiny_chunks(client: CrowdClient) -> None:
+    head = request_head("POST", "/pay/1", CROWD_DEADLINE_S, "Transfer-Encoding: chunked")
+    await _flood(client, lambda: head + b"1\r\nx\r\n" * 2_000 + b"0\r\n\r\n")
+
+
 async def _silent(client: CrowdClient) -> None:
     await client.hold()
 
@@ -158,6 +210,12 @@
     UNREAD_SHORT_ANSWERS = "send many requests and read no answer"
     IMPROPER_REQUESTS = "send many improper requests"
     SILENT = "connect and send nothing"
+    FLOOD_OF_PROPER_REQUESTS = "send proper requests at full speed"
+    FLOOD_OF_PROBES = "send probes at full speed"
+    FLOOD_OF_IMPROPER_REQUESTS = "send improper requests at full speed"
+    FLOOD_OF_NEW_NAMES = "send requests with ever new names at full speed"
+    FLOOD_OF_NEW_TENANTS = "send requests of ever new tenants at full speed"
+    FLOOD_OF_TINY_CHUNKS = "send requests in tiny chunks at full speed"
 
 
 ACTS: dict[Trouble, Act] = {
@@ -173,6 +231,12 @@
     Trouble.UNREAD_SHORT_ANSWERS: _unread_short_answers,
     Trouble.IMPROPER_REQUESTS: _improper_requests,
     Trouble.SILENT: _silent,
+    Trouble.FLOOD_OF_PROPER_REQUESTS: _flood_of_proper_requests,
+    Trouble.FLOOD_OF_PROBES: _flood_of_probes,
+    Trouble.FLOOD_OF_IMPROPER_REQUESTS: _flood_of_improper_requests,
+    Trouble.FLOOD_OF_NEW_NAMES: _flood_of_new_names,
+    Trouble.FLOOD_OF_NEW_TENANTS: _flood_of_new_tenants,
+    Trouble.FLOOD_OF_TINY_CHUNKS: _flood_of_tiny_chunks,
 }
 
 
