Proxy: a close that waits behind unread data, or follows a half-close, is noticed

Cause: whether the client is there was read from its socket alone. A FIN waits in the client's own socket while our window is full, so nothing is seen; and after one probe had told a half-close from a close, every later look took the half-close for a client that is there.

Change: before an attempt begins for a client of whom nothing was read for 50 ms and whose socket holds unread data, or whose input has ended, a probe (an interim answer, as before) has to provoke no reset; it counts for 50 ms. Attempts in time after the client's last data are not delayed, so an ordinary long upload sees no probe. A check that finds nothing left to answer forgets its state, which could have held an attempt of a later request.

HTTP/1.0 has no interim answers: there only a visible end counts.

--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -55,6 +55,7 @@
 # Work for a client must stop within 0.1 s after it disconnected. While its connection is not read, only polling the
 # socket shows the end of its input; and a close differs from a half-close only by the reset that a few bytes provoke.
 EOF_POLL_S, RESET_PROBE_S = 0.04, 0.015
+CONFIRMATION_S = 0.05  # for this long after it was read or answered a probe, a client counts as connected
 SILENT_LINGER_S = 0.3  # for a connection that never sent a request: it must be closed within 3 s
 UNSENT_CHECK_S = 0.25  # interval between checks whether a client still reads its last answer
 MAX_LINGER_S = 30.0  # upper limit while a client still sends a body that the proxy no longer needs
@@ -254,6 +255,7 @@
         "_body",
         "_body_length",
         "_body_size",
+        "_confirmed_at",
         "_continue_pending",
         "_eof_check",
         "_front",
@@ -318,6 +320,7 @@
         self._reset_probe_sent = False
         self._is_state_unknown = False  # an attempt is held until a disconnect is confirmed or ruled out
         self._is_half_closed = False  # end of input received, and a probe did not provoke a reset
+        self._confirmed_at = -math.inf  # when a probe last provoked no reset, on the loop's clock
         self._linger_timer: asyncio.TimerHandle | None = None
         self._linger_until = 0.0
         self._send_progress: SendProgress | None = None  # of the last answer, once the connection is closing
@@ -499,13 +502,25 @@
         if self._is_closing():
             return False
         seen = self._poll(select.POLLRDHUP)
-        if not seen or (seen == select.POLLRDHUP and self._is_half_closed):
+        if not seen and not self._may_hide_end():
+            return True
+        if seen in (0, select.POLLRDHUP) and self._is_confirmed():
             return True
         if not self._is_state_unknown:
             self._is_state_unknown = True
             self._schedule_eof_check(0.0)  # deferred, because the caller is in the middle of starting an attempt
         return False
 
+    def _may_hide_end(self) -> bool:
+        """The client's end may wait behind data that is not read, where the socket does not show it."""
+        if not self._reading_paused or (self.request is not None and self.request.is_http10):
+            return False
+        return time.monotonic() - self._received_at > CONFIRMATION_S and bool(self._poll(select.POLLIN))
+
+    def _is_confirmed(self) -> bool:
+        """A probe has shown a moment ago that the client is still there."""
+        return not has_elapsed(self._confirmed_at, CONFIRMATION_S, self._front.loop.time())
+
     def _has_unanswered(self) -> bool:
         return self.request is not None or self._has_waiting()
 
@@ -514,7 +529,9 @@
         return bool(self._pipelined or self._unparsed)
 
     def _probe_for_reset(self) -> None:
-        """Tells a close from a half-close: both send a FIN, but only a closed socket answers data with a reset.
+        """Tells whether the client has closed its socket: only then are data answered with a reset.
+
+        A half-close sends a FIN too, and behind data that are not read neither arrives.
 
         The probe is an interim answer, which every HTTP/1.1 client must accept before its final answer (RFC 9110,
         15.2). While an answer is being streamed, its own bytes serve as the probe.
@@ -543,21 +560,34 @@
         """Polls for a disconnect, which asyncio does not report while the connection is not read."""
         self._eof_check = None
         if self._is_closing() or not self._has_unanswered():
+            self._is_state_unknown = self._reset_probe_sent = False
             return
         seen = self._poll(select.POLLRDHUP)
         if seen & (select.POLLERR | select.POLLHUP):
             assert self._transport is not None
             self._drop_requests()
             self._transport.abort()
-        elif seen & select.POLLRDHUP and not self._reset_probe_sent and self._source is None:
+        elif self._reset_probe_sent:
+            self._confirm_connected(bool(seen & select.POLLRDHUP))
+        elif self._source is None and self._needs_probe(bool(seen & select.POLLRDHUP)):
             self._probe_for_reset()
-        else:
-            if seen & select.POLLRDHUP and self._reset_probe_sent and not self._is_half_closed:
-                self._is_half_closed = True
-                self._is_state_unknown = False
-                self._front.handler.client_confirmed(self)
-            if self._reading_paused or self._input is Input.ENDED:
-                self._schedule_eof_check(EOF_POLL_S)
+        elif self._reading_paused or self._input is Input.ENDED:
+            self._schedule_eof_check(EOF_POLL_S)
+
+    def _needs_probe(self, has_ended: bool) -> bool:
+        """`has_ended`: the end of the client's input has been received."""
+        return self._is_state_unknown or (has_ended and not self._is_half_closed)
+
+    def _confirm_connected(self, has_ended: bool) -> None:
+        """The last probe provoked no reset: starts attempts that were held until that was known."""
+        self._reset_probe_sent = False
+        self._confirmed_at = self._front.loop.time()
+        self._is_half_closed = self._is_half_closed or has_ended
+        if self._reading_paused or self._input is Input.ENDED:
+            self._schedule_eof_check(EOF_POLL_S)
+        if self._is_state_unknown:
+            self._is_state_unknown = False
+            self._front.handler.client_confirmed(self)
 
     def _poll(self, events: int) -> int:
         assert self._transport is not None
