Proxy: an id that may have run is not sent again under a new request

Cause: each request that was read counted as one of its own; nothing related it to an earlier one of the same X-Trace-Id, in this process or beside it.

Change: balancing/sentids.py remembers the ids of classes that may not simply be repeated from before their first attempt until the client has its answer or all attempts are known never to have run; without an answer for 30 s more, 4,096 at most. Such an id gets 409 (failed, not refused). While another process of the same proxy runs, and for 30 s after, each appends digests of the ids to a file in the shared folder before they are sent and reads the other's, also after its end by SIGKILL. Two more files are open then.

--- a/balancing/api.py
+++ b/balancing/api.py
@@ -334,6 +334,7 @@
     OUT_OF_TIME = "out of time"
     FAULT = "a fault in the decisions"
     OVERLOAD = "too many requests are open"
+    REPEATED = "its id was sent before and may have run"
 
 
 @dataclass(frozen=True, slots=True)
--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 
 import uvloop
@@ -29,6 +30,7 @@
 from proxy.memory import release_free_memory, resident_bytes
 from proxy.metrics import ProxyMetrics
 from proxy.proxy import Proxy
+from proxy.sentidfiles import SentIdFiles
 from proxy.upstream import Descriptors
 from proxy.usage import UsageLog
 
@@ -112,10 +114,16 @@
         self._limit_alone = front.descriptors.limit
         self._set_aside = config.sockets - self._limit_alone  # reserved, e.g. for discovery and the admin endpoint
         self._has_yielded = False
+        self._sent_ids = SentIdFiles(handover.ids_path())
+        proxy.shared_ids = self._sent_ids
         handover.export_state = proxy.learned
         handover.on_peers_read = self._on_peers_read
         handover.set_descriptors(config.sockets)
 
+    def close(self) -> None:
+        """Removes what this process shared with the others."""
+        self._sent_ids.close()
+
     def _on_peers_read(self) -> None:
         """Yields to a newer process that serves, or resumes without one, and adapts the shares of the limits."""
         if self._handover.has_successor() != self._has_yielded:
@@ -126,10 +134,17 @@
                 else "the newer process has ended or left: this process serves all clients again"
             )
             self._proxy.set_yielded(self._has_yielded)
+        self._share_sent_ids()
         self._front.budget.divide(2 if self._handover.peers else 1)
         self._front.descriptors.limit = limit = self._descriptors()
         self._handover.set_descriptors(limit + self._set_aside)
 
+    def _share_sent_ids(self) -> None:
+        was_shared = self._sent_ids.is_shared()
+        self._sent_ids.watch(self._handover.peers_ids_paths(), time.monotonic())
+        if self._sent_ids.is_shared() and not was_shared:
+            self._sent_ids.record(self._proxy.sent_ids.all())
+
     def _descriptors(self) -> int:
         """The limit for client and server connections; above it, idle connections are closed to reach it."""
         descriptors = self._front.descriptors
@@ -169,7 +184,7 @@
     admin = AdminEndpoint(loop, admin_calls(life, status, metrics))
     if config.control:
         await admin.listen(*config.control)
-    handover, inherited = None, None
+    handover, inherited, succession = None, None, None
     folder = os.environ.get("TMPDIR")
     if listener is not None and folder:
         handover = Handover(loop, Path(folder), life)
@@ -183,7 +198,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     Evacuation(loop, front, life)
     if handover is not None:
-        Succession(config, handover, proxy, front)
+        succession = Succession(config, handover, proxy, front)
         life.has_successor = handover.has_successor
         handover.watch()
     if listener is not None:
@@ -211,6 +226,8 @@
     usage.stop()
     admin.close()
     proxy.stop()
+    if succession is not None:
+        succession.close()
     if handover is not None:
         handover.close()
 
--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -65,6 +65,7 @@
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
     502: b"Bad Gateway",
--- a/proxy/handover.py
+++ b/proxy/handover.py
@@ -24,7 +24,7 @@
 log = logging.getLogger(__name__)
 
 # The prefix is a former name of the package: processes of older versions in the same folder still use it.
-PREFIX, MARK, STATE, PART = "cometdoor-", ".mark", ".state", ".part"
+PREFIX, MARK, STATE, PART, IDS = "cometdoor-", ".mark", ".state", ".part", ".ids"
 POLL_INTERVAL_S = 0.05
 STATE_WAIT_S = 0.5  # the new process waits this long for the state of the old one
 MAX_STATE_AGE_S = 5.0  # older state is ignored as out of date
@@ -76,6 +76,14 @@
     def _path(self, start: int, ending: str) -> Path:
         return self._folder / f"{PREFIX}{start}{ending}"
 
+    def ids_path(self) -> Path:
+        """The file for the ids that this process has sent."""
+        return self._path(self.start, IDS)
+
+    def peers_ids_paths(self) -> list[Path]:
+        """The files for the ids that the other processes have sent."""
+        return [self._path(peer.start, IDS) for peer in self.peers]
+
     # --- this process ---
 
     def announce(self) -> None:
@@ -156,7 +164,7 @@
         known = next((peer for peer in self.peers if peer.start == start), None)
         try:
             if self._is_unlocked(path):
-                for ending in (MARK, STATE, PART):
+                for ending in (MARK, STATE, PART, IDS):
                     self._path(start, ending).unlink(missing_ok=True)
                 return None
             content = read_object(path)
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -17,6 +17,7 @@
 from balancing import Balancer, api
 from balancing.api import ListKind, Outcome, State
 from balancing.outdated import OutdatedList
+from balancing.sentids import SentIds
 from proxy.config import Address, NodeConfig
 from proxy.discovery import Discovery, ListReader
 from proxy.flow import BodyBudget
@@ -31,10 +32,13 @@
 from proxy.listfile import read_list
 from proxy.metrics import ProxyMetrics
 from proxy.request_parser import Headers
+from proxy.sentidfiles import SentIdFiles
 from proxy.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source, Start
 
 log = logging.getLogger(__name__)
 
+NEVER_RAN = frozenset(outcome.value for outcome in api.NEVER_RAN)
+
 # The client's deadline counts from when it sent the request, and the whole answer must have arrived by then. Attempts
 # end this much earlier, to allow for the network in both directions and for delays of the event loop.
 MARGIN_MS = 20.0
@@ -53,7 +57,17 @@
 class LiveRequest:
     """A request that has not been answered, or that still has attempts without an outcome."""
 
-    __slots__ = ("attempts", "client", "expires_at", "id", "message", "streaming_attempt", "timer")
+    __slots__ = (
+        "attempts",
+        "client",
+        "expires_at",
+        "id",
+        "is_answered",
+        "is_repeatable",
+        "message",
+        "streaming_attempt",
+        "timer",
+    )
 
     def __init__(self, id: str, client: ClientConnection, message: ClientRequest, expires_at: float) -> None:
         self.id = id
@@ -63,6 +77,11 @@
         self.attempts: list[Attempt] = []
         self.timer: Timer | None = None  # for the proxy's own answer at the deadline
         self.streaming_attempt: Attempt | None = None  # whose answer is being streamed to the client
+        self.is_repeatable = False  # may run more than once
+        self.is_answered = False  # the client was still there for the whole of its final answer
+
+    def may_have_run(self) -> bool:
+        return any(attempt.outcome not in NEVER_RAN for attempt in self.attempts)
 
     def is_over(self) -> bool:
         return self.client is None and all(attempt.ended for attempt in self.attempts)
@@ -222,6 +241,8 @@
         self._updates_read_at = now_ms()  # when no update from discovery was unread
         self._held_attempts: list[Attempt] = []  # until unread updates have been processed
         self._last_id = 0
+        self.sent_ids = SentIds()
+        self.shared_ids: SentIdFiles | None = None  # of the processes that act as one proxy with this one
         self._events: deque[api.Event] = deque()
         self._handling = self._started = False
         self._unserved = UnservedLog()
@@ -428,6 +449,7 @@
             return
         self._last_id += 1
         request = LiveRequest(str(self._last_id), connection, message, math.inf)
+        request.is_repeatable = self._config.settings.classes[message.class_index].effect is api.Effect.SAFE
         self._requests[request.id] = self._by_client[connection] = request
         left_ms = message.left_ms
         is_body_incomplete = message.is_body_incomplete()
@@ -575,6 +597,7 @@
         client = self._detach_client(request)
         self._end_unsent_attempts(request)
         if client is not None:
+            request.is_answered = True
             if reason is not None:
                 self._metrics.unserved.add(reason.value)
                 self._unserved.write(request, status, reason)
@@ -598,6 +621,10 @@
         ):
             self._end_attempt(attempt, Outcome.MOOT)
             return
+        if not self._may_send_id(request):
+            self._fail_repeated(request)
+            self._end_attempt(attempt, Outcome.MOOT)
+            return
         address = self._addresses.get(action.server)
         if address is None:
             self._end_attempt(attempt, Outcome.CONNECT_FAILED)
@@ -615,6 +642,25 @@
             log.warning("no file descriptor left for a connection to %s", action.server)
             self._end_attempt(attempt, Outcome.CONNECT_FAILED)
 
+    def _may_send_id(self, request: LiveRequest) -> bool:
+        """False if a server may have run another request under the same id, sent by this process or one beside it."""
+        if request.is_repeatable:
+            return True
+        trace_id = request.message.trace_id
+        is_first = not self.sent_ids.is_claimed_by(trace_id, request.id)
+        shared = self.shared_ids if self.shared_ids is not None and self.shared_ids.is_shared() else None
+        if is_first and shared is not None and shared.peer_has(trace_id):
+            return False
+        if not self.sent_ids.claim(trace_id, request.id, now_ms()):
+            return False
+        if shared is not None:
+            shared.record([trace_id])
+        return True
+
+    def _fail_repeated(self, request: LiveRequest) -> None:
+        self._answer(request, 409, [], b"", api.Unserved.REPEATED)
+        self._dispatch(api.ClientDisconnected(request.id))
+
     @staticmethod
     def _payload(message: ClientRequest, expires_at: float) -> bytes:
         lines = [b"%s %s HTTP/1.1\r\n" % (message.method, message.target)]
@@ -669,6 +715,7 @@
         if attempt is request.streaming_attempt:
             client = self._detach_client(request)
             if client is not None and outcome is Outcome.OK:
+                request.is_answered = True
                 client.end_answer()
             elif client is not None:
                 log.info(
@@ -727,7 +774,17 @@
 
     def _clean_up(self, request: LiveRequest) -> None:
         if request.is_over() and self._requests.pop(request.id, None) is not None:
+            self._release_id(request)
             for attempt in request.attempts:
                 # Breaks the reference cycle: otherwise the request with its headers and body would stay in memory until
                 # the next garbage collection and make that slow. The request of an ended attempt is never read.
                 del attempt.request
+
+    def _release_id(self, request: LiveRequest) -> None:
+        if request.is_repeatable:
+            return
+        trace_id = request.message.trace_id
+        if request.is_answered or not request.may_have_run():
+            self.sent_ids.release(trace_id, request.id)
+        else:
+            self.sent_ids.abandon(trace_id, request.id, now_ms())
