Proxy: the time of a request that waits unread runs from when it may have come

Of 14 orders of 20 kB in one burst, those that were read later had their whole time anew: 251, 328 and 580 ms where 0 were left.

Cause: a request arrived, for the proxy, when its last byte was read. While reading is paused, what comes waits in our socket (113 kB here) and in the client's (4 MB, tcp_wmem): the client has written its last byte long before.

Change: a connection notes since when data may wait unread, until it has read all and nothing came for 5 ms; a request's time runs from then. While more of a long body is missing than a client's system can hold it can't have been written. A long body that is not whole when that time is over is refused with 503: no server has all of it, so it has not run. Clients that write slowly keep their time. The cost: where a client's system holds less than 4 MB, an upload that a slow server reads for longer than the client's time is refused though its last byte was not written yet; nothing on our side shows that.

--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -44,6 +44,8 @@
 READ_TIMEOUT_S = 2.5
 BODY_GRACE_S = 0.8  # time, from the end of the head, that a body may lag behind MIN_BODY_RATE
 MIN_BODY_RATE = 40_000.0  # bytes per second; clients send 64 kB in one second
+CLIENT_SEND_BUFFER = 4 << 20  # bytes that a client's system may take before we read any: tcp_wmem of tcp(7)
+BURST_GAP_S = 0.005  # what a client wrote before comes within this time after room was made for it
 RECHECK_S = 0.05  # interval between checks of a connection whose received bytes the event loop has not read yet
 STALLED_HEAD_S = 1.0  # a connection without progress within a head for this long may be closed for a new one
 MIN_IDLE_S = 2.0  # a connection without a request may be closed for a new one after this time
@@ -253,6 +255,7 @@
     __slots__ = (
         "__weakref__",
         "_account",
+        "_blocked_since",
         "_body",
         "_body_length",
         "_body_size",
@@ -266,6 +269,7 @@
         "_incomplete_head_size",
         "_input",
         "_is_chunked",
+        "_is_drained",
         "_is_half_closed",
         "_is_parse_scheduled",
         "_is_state_unknown",
@@ -273,6 +277,7 @@
         "_last_read_at",
         "_linger_timer",
         "_linger_until",
+        "_offered",
         "_parser",
         "_paused_at",
         "_pipelined",
@@ -304,6 +309,10 @@
         self._unparsed = b""  # received behind MAX_PIPELINED requests; the connection is not read meanwhile
         self._is_parse_scheduled = False
         self._received_at = 0.0  # when the last data came; time.monotonic() in seconds
+        # Since when data may wait unread, on the same clock: the client may have written all of them by then.
+        self._blocked_since: float | None = None
+        self._offered = 0  # bytes that the last read could take
+        self._is_drained = True  # the last read left nothing in the socket, and all of it was parsed
         self._incomplete_head_size = 0  # bytes, which the parser buffers without a limit
         self._in_request = False  # a request is partly received
         self._incoming: ClientRequest | None = None  # its head is complete, its body is not
@@ -343,15 +352,21 @@
         self._front.opened(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._front.budget.read_buffer()
+        buffer = self._front.budget.read_buffer()
+        self._offered = len(buffer)
+        return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         self._last_read_at = self._front.loop.time()
         if self._input is not Input.OPEN:
             return
-        self._received_at = time.monotonic()
+        now = time.monotonic()
+        if self._is_drained and now - self._received_at > BURST_GAP_S:
+            self._blocked_since = None
+        self._received_at = now
         self._set_unparsed(self._unparsed + self._front.budget.read_buffer()[:nbytes])
         self._parse()
+        self._is_drained = nbytes < self._offered and not self._unparsed
         self._process_next()
         if self._in_request and self._front.budget.memory.is_over():
             self._front.relieve_memory()
@@ -645,6 +660,8 @@
         if self._body_size > MAX_BODY:
             raise BadRequest(413, "the body is too large")
         if request.body_stream is not None:
+            if (self._body_length or 0) - self._body_size > CLIENT_SEND_BUFFER:
+                self._blocked_since = time.monotonic()  # the client's system can't have taken the rest yet
             request.body_stream.push(body)
             return
         self._body += body
@@ -671,7 +688,7 @@
         self._continue_pending = False
         request, self._incoming = self._incoming, None
         assert request is not None
-        request.arrived_at = self._received_at
+        request.arrived_at = self._sent_at_earliest()
         if request.body_stream is None:
             request.body = bytes(self._body)
             self._body = bytearray()
@@ -738,6 +755,8 @@
         now = self._front.loop.time()
         if full:
             self._paused_at = now
+            if self._blocked_since is None:
+                self._blocked_since = time.monotonic()
             self._transport.pause_reading()
             if not self._is_state_unknown:
                 self._schedule_eof_check(EOF_POLL_S)
@@ -747,8 +766,26 @@
             # The client could not send during the pause, so it does not count towards the time-outs.
             for name in ("_request_began_at", "_head_ended_at", "_last_read_at"):
                 setattr(self, name, getattr(self, name) + now - self._paused_at)
+            if self._has_read_all() or (self._blocked_since or 0.0) > time.monotonic() - BURST_GAP_S:
+                self._blocked_since = None
             self._transport.resume_reading()
 
+    def body_sent_since(self) -> float | None:
+        """When the client may have written the last byte of the body that is being received, at the earliest, in
+        seconds of time.monotonic(); None if it has not."""
+        if self._blocked_since is None or self._has_read_all():
+            return None
+        return self._sent_at_earliest()
+
+    def _has_read_all(self) -> bool:
+        """Nothing that the client has written waits unread, on its side neither."""
+        is_quiet = time.monotonic() - self._received_at > BURST_GAP_S
+        return is_quiet and not self._unparsed and not self._poll(select.POLLIN)
+
+    def _sent_at_earliest(self) -> float:
+        """When the client may have written what was read last."""
+        return self._received_at if self._blocked_since is None else min(self._blocked_since, self._received_at)
+
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Writes a complete final answer to the current request."""
         request = self._finish_request()
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -453,7 +453,9 @@
         self._requests[request.id] = self._by_client[connection] = request
         left_ms = message.left_ms
         is_body_incomplete = message.is_body_incomplete()
-        if not is_body_incomplete:
+        if is_body_incomplete:
+            self._watch_body(request, now_ms())
+        else:
             self._set_expiry(request)
             left_ms = max(request.expires_at - now_ms(), 0.0)
         if message.body_stream is not None:
@@ -479,11 +481,35 @@
             self._loop, request.expires_at + margin * FALLBACK_ANSWER_SHARE, lambda: self._on_deadline(request)
         )
 
+    def _watch_body(self, request: LiveRequest, since: float) -> None:
+        """Checks when the client's time would be over if it had written all of its body at that time."""
+        request.timer = Timer(self._loop, self._last_moment(request, since), lambda: self._check_body(request))
+
+    @staticmethod
+    def _last_moment(request: LiveRequest, sent_at: float) -> float:
+        left_ms = request.message.left_ms
+        return sent_at + left_ms - min(MARGIN_MS, MARGIN_SHARE * left_ms)
+
+    def _check_body(self, request: LiveRequest) -> None:
+        """Refuses a request whose server reads its body so slowly that the client's time is over. It has not run."""
+        client = request.client
+        if client is None or request.streaming_attempt is not None or not request.message.is_body_incomplete():
+            return
+        sent_since = client.body_sent_since()
+        sent_at = now_ms() if sent_since is None else sent_since * 1000.0
+        if self._last_moment(request, sent_at) > now_ms():
+            self._watch_body(request, sent_at)
+            return
+        self._answer(request, 503, [], b"", api.Unserved.OUT_OF_TIME)
+        self._dispatch(api.ClientDisconnected(request.id))
+        self._clean_up(request)
+
     def body_ended(self, connection: ClientConnection) -> None:
         """The last byte of a streamed request body has been received."""
         request = self._by_client.get(connection)
         if request is None or request.streaming_attempt is not None:
             return
+        self._stop_timer(request)
         self._set_expiry(request)
         for attempt in request.attempts:
             if not attempt.ended:
--- /dev/null
+++ b/tests/test_slow_servers.py
@@ -0,0 +1,88 @@
+"""Servers that write a long answer slowly, or read a long request slowly."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+
+from balancing import api
+from tests.rig import FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
+from tests.test_bodies import raw_server
+
+OVERDUE_S = 0.5  # of the terms: a final answer that is later than this after its time is lost
+READ_MS = 20.0  # in which the first requests, which do not wait, are read
+SLOW_PIECE = 20_000  # bytes; a megabyte a second
+
+
+async def read_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    while await reader.read(SLOW_PIECE):
+        await asyncio.sleep(0.02)
+    writer.close()
+
+
+def test_a_long_request_that_its_server_reads_slowly_gets_its_final_answer_in_time() -> None:
+    """The client's time runs from the last byte that it wrote, which waits in the sockets on its way."""
+
+    async def test() -> None:
+        with Script().installed() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", await raw_server(read_slowly)))
+            caller = await rig.caller()
+            body = bytes(12_000_000)
+            caller.writer.transport.set_write_buffer_limits(high=0)
+            caller.writer.write(
+                b"POST /pay/1 HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Qos: pay\r\nX-Expires-In: 1.0\r\n"
+                b"Content-Length: %d\r\n\r\n" % len(body) + body
+            )
+            await caller.writer.drain()
+            began = time.monotonic()
+            answer = await caller.answer()
+            assert time.monotonic() - began < 1.0 + OVERDUE_S
+            assert answer.status == 503
+
+    run(test)
+
+
+def test_a_long_request_that_its_client_writes_slowly_keeps_its_time() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().installed() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", backend.address))
+            caller = await rig.caller()
+            caller.writer.write(
+                b"POST /pay/1 HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Qos: pay\r\nX-Expires-In: 0.5\r\n"
+                b"Content-Length: 200000\r\n\r\n"
+            )
+            for _ in range(20):
+                caller.writer.write(bytes(10_000))
+                await asyncio.sleep(0.1)
+            (await backend.next()).reply(200, b"whole")
+            assert (await caller.answer()).body == b"whole"
+
+    run(test)
+
+
+def test_a_request_that_waits_unread_has_its_time_from_when_it_came() -> None:
+    """Requests behind others that wait were given their whole time anew when they were read."""
+
+    async def test() -> None:
+        async with scripted_proxy() as (backend, script, rig):
+            caller = await rig.caller()
+            for number in range(14):
+                caller.ask("pay", bytes(20_000), trace=f"t{number}", left="0.6")
+            (await backend.next()).reply(200)
+            for _ in range(2):
+                call = await backend.next()
+                await asyncio.sleep(0.25)
+                call.reply(200)
+            await asyncio.sleep(0.3)
+            statuses: list[int] = []
+            while len(statuses) < 14:
+                statuses.append((await Message.read(caller.reader)).status)
+            left = [event.left_ms for event in script.events if isinstance(event, api.RequestArrived)]
+            assert all(later <= earlier + READ_MS for earlier, later in itertools.pairwise(left)), left
+
+    run(test)
