Proxy: pass on a long answer without a length while its server writes it slowly

Cause: an answer that states no length, in chunks or ended by the close, was held until 64 KiB had come, and its attempt ended with the client's time until then. Nothing had been passed on of what had come in time.

--- a/proxy/flow.py
+++ b/proxy/flow.py
@@ -9,6 +9,7 @@
 
 MAX_BUFFERED_BODY = 64 * 1024  # bytes; a body up to this size is buffered completely and can be sent again
 MAX_BODY = 32 << 20  # bytes
+MIN_BODY_RATE = 40_000.0  # bytes per second; the slowest peers write 64 kB in one second
 BODY_STALL_TIMEOUT_S = 20.0  # a peer that makes no progress with a body for this long counts as dead
 MAX_CHUNK, MIN_CHUNK = 64 * 1024, 2 * 1024  # bytes per read
 CHUNKS_PER_BODY = 4  # chunks of a body in memory at most: being read, unsent, in the outgoing connection's buffer
--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -16,7 +16,15 @@
 from balancing.api import Effect
 from proxy.clock import has_elapsed
 from proxy.config import Address, NodeConfig, method_of
-from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, MIN_CHUNK, BodyBudget, RequestBodyStream
+from proxy.flow import (
+    BODY_STALL_TIMEOUT_S,
+    MAX_BODY,
+    MAX_BUFFERED_BODY,
+    MIN_BODY_RATE,
+    MIN_CHUNK,
+    BodyBudget,
+    RequestBodyStream,
+)
 from proxy.lifecycle import LifeCycle
 from proxy.memory import CLIENT_CONNECTION_BYTES, OPEN_REQUEST_BYTES, Held, MemoryAccount
 from proxy.metrics import ProxyMetrics
@@ -43,7 +51,6 @@
 # first head: a peer that sends no valid request must get an error or a close within 3 s. A body gets at least as long.
 READ_TIMEOUT_S = 2.5
 BODY_GRACE_S = 0.8  # time, from the end of the head, that a body may lag behind MIN_BODY_RATE
-MIN_BODY_RATE = 40_000.0  # bytes per second; clients send 64 kB in one second
 CLIENT_SEND_BUFFER = 4 << 20  # bytes that a client's system may take before we read any: tcp_wmem of tcp(7)
 BURST_GAP_S = 0.005  # what a client wrote before comes within this time after room was made for it
 RECHECK_S = 0.05  # interval between checks of a connection whose received bytes the event loop has not read yet
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -730,6 +730,8 @@
                 attempt.exchange.resume_start()
 
     def _on_attempt_timeout(self, attempt: Attempt) -> None:
+        if attempt.exchange is not None and attempt.exchange.pass_on():
+            return  # a long answer, whose first bytes are in time
         # An attempt that was not fully written cannot have run, and is not written later.
         written = attempt.exchange is None or attempt.exchange.is_written()
         self._end_attempt(attempt, Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED)
--- a/proxy/upstream.py
+++ b/proxy/upstream.py
@@ -20,7 +20,7 @@
 from balancing.api import Outcome
 from proxy.clock import has_elapsed
 from proxy.config import Address
-from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, BodyBudget, RequestBodyStream
+from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, MIN_BODY_RATE, BodyBudget, RequestBodyStream
 from proxy.memory import SERVER_CONNECTION_BYTES, Held, MemoryAccount
 from proxy.metrics import ProxyMetrics
 from proxy.request_parser import MAX_HEAD, MAX_HEADER_FIELDS
@@ -30,6 +30,8 @@
 # taken for the answer to the next request, so a connection is reused only after this time. Data that arrives meanwhile,
 # or is still unread at the reuse, closes the connection.
 MIN_IDLE_S = 0.025
+# An answer that does not state its length may be a long one: it is passed on as it comes after this time.
+HOLD_UNSIZED_S = 0.5  # between checks whether it comes fast enough for one
 NEVER_RAN_STATUS = (503, 504)
 
 
@@ -140,6 +142,10 @@
         if self.connection is not None:
             self.connection.resume_start()
 
+    def pass_on(self) -> bool:
+        """Begins to stream what has come of an answer without a length. False if there is none."""
+        return self.connection is not None and self.connection.pass_on_unsized()
+
     def abort(self) -> None:
         """Closes the connection, so that the backend can stop working and a late answer cannot be taken for another
         request's."""
@@ -159,8 +165,10 @@
         "_account",
         "_answer",
         "_body",
+        "_body_began_at",
         "_connect_task",
         "_headers",
+        "_hold_timer",
         "_in_head",
         "_length",
         "_parser",
@@ -204,6 +212,8 @@
         self._body = bytearray()
         self._size = self._received = 0
         self._length: int | None = None  # of the answer's body, if known
+        self._hold_timer: asyncio.TimerHandle | None = None  # while an answer without a length is held back
+        self._body_began_at = 0.0  # on the loop's clock, for such an answer
         self._until_close = False
         self._in_head = True
         self._answer: Answer | None = None
@@ -391,6 +401,9 @@
     def _clear(self) -> None:
         self._headers, self._body, self._size, self._received = [], bytearray(), 0, 0
         self._length, self._until_close = None, False
+        if self._hold_timer is not None:
+            self._hold_timer.cancel()
+            self._hold_timer = None
         self._account.set(Held.SERVER_ANSWER, 0)
 
     def on_body(self, body: bytes) -> None:
@@ -406,6 +419,22 @@
         self._account.set(Held.SERVER_ANSWER, self._size)
         if max(self._size, self._length or 0) > self.pool.budget.answer_limit():
             self._start_stream()
+        elif self._length is None and self._hold_timer is None:
+            self._body_began_at = self.pool.loop.time()
+            self._hold_timer = self.pool.loop.call_later(HOLD_UNSIZED_S, self._check_unsized)
+
+    def _check_unsized(self) -> None:
+        if not self.pass_on_unsized() and not self.closed:
+            self._hold_timer = self.pool.loop.call_later(HOLD_UNSIZED_S, self._check_unsized)
+
+    def pass_on_unsized(self) -> bool:
+        """Streams an answer without a length from now on, if it may be a long one: it comes at MIN_BODY_RATE."""
+        if self.exchange is None or self._in_head or self._length is not None or not self._body:
+            return self._sink is not None
+        if self._size < MIN_BODY_RATE * (self.pool.loop.time() - self._body_began_at):
+            return False  # an answer that never ends must end with the client's time
+        self._start_stream()
+        return self._sink is not None
 
     def _start_stream(self) -> None:
         """Streams the answer to the client from here on, since it is too long to be held in memory."""
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -6,13 +6,62 @@
 import itertools
 import time
 
+import pytest
+
 from balancing import api
 from tests.rig import FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_bodies import raw_server
 
 OVERDUE_S = 0.5  # of the terms: a final answer that is later than this after its time is lost
 READ_MS = 20.0  # in which the first requests, which do not wait, are read
+PIECE = 4_000  # bytes; a hundred kilobytes a second
 SLOW_PIECE = 20_000  # bytes; a megabyte a second
+LONG_ANSWER = 200_000  # bytes
+
+
+@pytest.mark.parametrize("framing", ["chunked", "until the close"])
+def test_a_long_answer_without_a_length_is_passed_on_while_its_server_writes_it_slowly(framing: str) -> None:
+    """It was held back until 64 KiB had come, and cut off at the deadline of its first byte."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        field = b"Transfer-Encoding: chunked\r\n" if framing == "chunked" else b"Connection: close\r\n"
+        writer.write(b"HTTP/1.1 200 OK\r\n" + field + b"\r\n")
+        for _ in range(LONG_ANSWER // PIECE):
+            piece = bytes(PIECE)
+            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece) if framing == "chunked" else piece)
+            await asyncio.sleep(0.04)
+        writer.write(b"0\r\n\r\n" if framing == "chunked" else b"")
+        await writer.drain()
+        writer.close()
+
+    async def test() -> None:
+        with Script().installed() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", await raw_server(serve)))
+            caller = await rig.caller()
+            caller.ask(left="0.5")
+            head = await caller.reader.readuntil(b"\r\n\r\n")
+            assert head.split()[1] == b"200"
+            total = 0
+            while size := int(await caller.reader.readline(), 16):
+                total += len(await caller.reader.readexactly(size + 2)) - 2
+            assert total == LONG_ANSWER
+
+    run(test)
+
+
+def test_a_short_answer_without_a_length_is_still_passed_on_whole() -> None:
+    async def test() -> None:
+        async with scripted_proxy() as (backend, _script, rig):
+            caller = await rig.caller()
+            caller.ask()
+            call = await backend.next()
+            call.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n0\r\n\r\n")
+            answer = await caller.answer()
+            assert (answer.headers["content-length"], answer.body) == ("5", b"short")
+
+    run(test)
 
 
 async def read_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
