Proxy: a long answer is not cut off while its client reads it slowly

Cause: a client counted as one that does not read while its connection took nothing from the proxy for 20 s. The socket takes more only once a third of what it holds (4 MB) has been read: at 20 kB a second over a minute later.

Change: once a second it is looked at what the kernel still holds for the client, as for last answers; 20 s without any change end it.

Evidence: tests/test_last_answers.py, a reader at 2 MB a second with a limit of 0.4 s: cut off without the change.

--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -66,6 +66,7 @@
 EOF_POLL_S, RESET_PROBE_S = 0.04, 0.015
 CONFIRMATION_S = 0.05  # for this long after it was read or answered a probe, a client counts as connected
 SILENT_LINGER_S = 0.3  # for a connection that never sent a request: it must be closed within 3 s
+UNREAD_CHECK_S = 1.0  # interval between checks whether a client still reads an answer that is being streamed
 UNSENT_CHECK_S = 0.25  # interval between checks whether a client still reads its last answer
 MAX_LINGER_S = 30.0  # upper limit while a client still sends a body that the proxy no longer needs
 REASONS = {
@@ -464,11 +465,23 @@
         if self._source is not None:
             self._source.pause()
             self._stop_stall_timer()
-            self._stall_timer = self._front.loop.call_later(BODY_STALL_TIMEOUT_S, self._end_unread_answer)
+            self._stall_timer = self._front.loop.call_later(UNREAD_CHECK_S, self._begin_unread_check)
 
-    def _end_unread_answer(self) -> None:
-        self._front.metrics.closed.add(CloseReason.UNREAD_ANSWER.value)
-        self.abort_answer()
+    def _begin_unread_check(self) -> None:
+        """The transport moves in large steps: only what the kernel holds shows whether the client goes on reading."""
+        assert self._transport is not None
+        now = self._front.loop.time()
+        progress = SendProgress(self._transport, now - UNREAD_CHECK_S)
+        self._check_unread(progress)
+
+    def _check_unread(self, progress: SendProgress) -> None:
+        """Ends an answer of which the client takes nothing any more."""
+        now = self._front.loop.time()
+        if has_elapsed(progress.last_progress_at(now), BODY_STALL_TIMEOUT_S, now):
+            self._front.metrics.closed.add(CloseReason.UNREAD_ANSWER.value)
+            self.abort_answer()
+        else:
+            self._stall_timer = self._front.loop.call_later(UNREAD_CHECK_S, self._check_unread, progress)
 
     def _write(self, data: bytes) -> None:
         """Writes to the client, and counts what it does not take: the event loop keeps all of the data until then."""
--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -12,7 +12,8 @@
 
 from proxy.__main__ import leave
 from proxy.frontend import ClientConnection
-from tests.rig import FakeServer, Rig, run, scripted_proxy
+from tests.rig import FakeServer, Rig, Script, first_to, member, run, scripted_proxy
+from tests.test_bodies import raw_server
 from tests.test_frontend import GOOD, head
 
 ANSWER = bytes(range(250)) * 20_000  # 5 MB: more than the sockets between proxy and client hold
@@ -22,6 +23,8 @@
 STALL_S = 2.0
 LONG_S = 20.0  # in place of LINGER_S where a late event loop must not count as a client's rest
 PIECE = 65_536
+SLOWLY_READ = 12_000_000  # bytes of an answer
+SHORT_STALL_S = 0.4  # less than the time in which a client at 2 MB a second makes room for the next megabyte
 PAUSE_S = 0.04  # of a client between two pieces
 KEPT = "none: the connection is kept"
 ENDINGS: dict[str, tuple[str, ...]] = {
@@ -226,3 +229,36 @@
                 await leaving
 
     run(test)
+
+
+def test_a_long_answer_is_not_cut_off_while_its_client_reads_it_slowly() -> None:
+    """Its connection takes more only in steps of over a megabyte: at 20 kB a second a minute passes between two."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SLOWLY_READ)
+        writer.write(bytes(SLOWLY_READ))
+        await writer.drain()
+
+    async def test() -> None:
+        with (
+            Script().installed() as script,
+            mock.patch.multiple("proxy.frontend", BODY_STALL_TIMEOUT_S=SHORT_STALL_S, UNREAD_CHECK_S=SHORT_STALL_S / 8),
+        ):
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", await raw_server(serve)))
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE)
+            client.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(client, rig.front.address())
+            await loop.sock_sendall(client, b"GET /read/1 HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Expires-In: 2\r\n\r\n")
+            received = 0
+            while received < SLOWLY_READ:
+                data = await loop.sock_recv(client, 40_000)
+                assert data, f"cut off after {received} bytes"
+                received += len(data)
+                await asyncio.sleep(0.02)
+            client.close()
+
+    run(test)
