--- a/mastlift/lab/clientcrowd.py
+++ b/mastlift/lab/clientcrowd.py
@@ -37,17 +37,18 @@
 BURST = 200  # requests that are written at once
 STREAM_LIMIT = 1 << 20  # bytes of a head that a server takes
 RECEIVE_BUFFER = 4_096  # bytes, of clients that read slowly
+LANE_DEADLINE_MS = 5_000.0
 LANES = [
-    {**LANE, "name": "read", "effect": "retryable", "deadline_ms": 5000.0},
-    {**LANE, "name": "pay", "effect": "fragile", "deadline_ms": 5000.0},
+    {**LANE, "name": "read", "effect": "retryable", "deadline_ms": LANE_DEADLINE_MS},
+    {**LANE, "name": "pay", "effect": "fragile", "deadline_ms": LANE_DEADLINE_MS},
 ]
 
 Act = Callable[["CrowdClient"], Awaitable[None]]
 
 
-def request_head(method: str, path: str, deadline_s: float, *fields: str) -> bytes:
-    """The head of a proper request, with a trace id of its own."""
-    trace = f"{random.getrandbits(64):016x}"
+def request_head(method: str, path: str, deadline_s: float, *fields: str, trace: str = "") -> bytes:
+    """The head of a proper request, with a trace id of its own unless one is given."""
+    trace = trace or f"{random.getrandbits(64):016x}"
     lines = [f"{method} {path} HTTP/1.1", "Host: app.svc", f"X-Trace-Id: {trace}", f"X-Expires-In: {deadline_s}"]
     return "\r\n".join([*lines, *fields, "", ""]).encode()
 
@@ -267,14 +268,17 @@
         assert task is not None
         self._handlers.add(task)
         task.add_done_callback(self._handlers.discard)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                await self._answer(reader, writer)
-        writer.close()
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    await self._answer(reader, writer)
+        finally:
+            writer.transport.abort()
 
     async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
         await self._read_body(head.lower(), reader)
+        self.ran(head.lower())
         path = head.split(b" ", 2)[1].split(b"/")
         if path[2] == b"chunked":
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -289,6 +293,9 @@
             writer.write(bytes(min(PIECE, length - start)))
             await writer.drain()
 
+    def ran(self, head: bytes) -> None:
+        """A request has come whole; `head` is in lower case."""
+
     async def _read_body(self, head: bytes, reader: asyncio.StreamReader) -> None:
         if b"transfer-encoding: chunked" in head:
             while (size := int(await reader.readline(), 16)) > 0:
@@ -491,6 +498,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+        self._stop.clear()
 
 
 async def play(plan: Plan, folder: Path, seed: int = 1) -> Outcome:
