Proxy: parse large input in small parts, in turn, and count a body once for all its chunks

Cause: what was read from a connection, up to 64 KiB, was parsed in one go; in chunks of one byte that is 11,000 calls, and the count of what is held made each four times as expensive. Each turn of the event loop did so for each connection that had sent something. And while memory was over its limit each read looked at all connections for the largest.

A body is counted once for all that is parsed together. The kinds of what is held hash as strings. The look for the largest comes every 5 ms at most.

--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -28,6 +28,7 @@
 from proxy.lifecycle import LifeCycle
 from proxy.memory import CLIENT_CONNECTION_BYTES, OPEN_REQUEST_BYTES, Held, MemoryAccount
 from proxy.metrics import ProxyMetrics
+from proxy.parsequeue import ParseQueue
 from proxy.request_parser import (
     MAX_HEAD,
     BadRequest,
@@ -46,6 +47,8 @@
 BACKLOG = 1024
 ACCEPT_RETRY_S = 0.05  # pause after accept() failed, e.g. for lack of descriptors; closed connections free some
 MIN_LINGER_S = 0.2  # a lingering connection (answered, input discarded) may be closed for a new one after this time
+PARSE_SLICE = 4 * 1024  # bytes of heads and chunks that are parsed between two looks at the clock
+PARSE_S = 0.002  # of a turn of the event loop for the data of one connection
 MAX_PIPELINED = 4  # requests parsed ahead on one connection; what is received behind them is parsed later
 # Limit from the first byte of a request to the end of its head, and from accepting a connection to the end of its
 # first head: a peer that sends no valid request must get an error or a close within 3 s. A body gets at least as long.
@@ -53,6 +56,7 @@
 BODY_GRACE_S = 0.8  # time, from the end of the head, that a body may lag behind MIN_BODY_RATE
 CLIENT_SEND_BUFFER = 4 << 20  # bytes that a client's system may take before we read any: tcp_wmem of tcp(7)
 BURST_GAP_S = 0.005  # what a client wrote before comes within this time after room was made for it
+RELIEF_INTERVAL_S = 0.005  # between two looks at all connections for requests to refuse
 RECHECK_S = 0.05  # interval between checks of a connection whose received bytes the event loop has not read yet
 STALLED_HEAD_S = 1.0  # a connection without progress within a head for this long may be closed for a new one
 MIN_IDLE_S = 2.0  # a connection without a request may be closed for a new one after this time
@@ -299,6 +303,7 @@
         "_source",
         "_stall_timer",
         "_transport",
+        "_uncounted",
         "_unparsed",
         "idle_since",
         "is_new",
@@ -312,6 +317,7 @@
         self._parser = RequestParser(self)
         self._body = bytearray()  # in one piece: as objects of their own, tiny chunks would take many times their bytes
         self._body_size = 0
+        self._uncounted = 0  # bytes of the body that are not in the account yet
         self._body_length: int | None = None  # as the head states it
         self._received = 0  # bytes on the wire of the request that is being received
         self._unparsed = b""  # received behind MAX_PIPELINED requests; the connection is not read meanwhile
@@ -373,18 +379,23 @@
             self._blocked_since = None
         self._received_at = now
         self._set_unparsed(self._unparsed + self._front.budget.read_buffer()[:nbytes])
-        self._parse()
+        if self._front.parse_queue.is_empty() or len(self._unparsed) <= PARSE_SLICE:
+            self._parse()
         self._is_drained = nbytes < self._offered and not self._unparsed
         self._process_next()
         if self._in_request and self._front.budget.memory.is_over():
             self._front.relieve_memory()
 
     def _parse(self) -> None:
-        """Parses what was received, until MAX_PIPELINED requests wait to be answered."""
+        """Parses some of what was received, until MAX_PIPELINED requests wait to be answered."""
         data, position = self._unparsed, 0
-        while position < len(data) and len(self._pipelined) < MAX_PIPELINED and self._input is Input.OPEN:
+        until = time.monotonic() + PARSE_S
+        while position < len(data) and self._can_take_more():
             position = self._parse_message(data, position)
+            if time.monotonic() >= until:
+                break
         self._set_unparsed(data[position:] if self._input is Input.OPEN else b"")
+        self._count_body()
         self._account.set(Held.INCOMPLETE_HEAD, self._parser.held_head_bytes() if self._parser.in_head else 0)
         if not self._in_request:
             if not self.is_new:
@@ -392,11 +403,14 @@
         elif self._read_timer is None:
             self._read_timer = self._front.loop.call_later(READ_TIMEOUT_S, self._check_read_progress)
 
+    def _can_take_more(self) -> bool:
+        return len(self._pipelined) < MAX_PIPELINED and self._input is Input.OPEN
+
     def _parse_message(self, data: bytes, start: int) -> int:
         """Parses the data from `start` on to the end of one message at most. Returns the index of what is left."""
         was_in_head = self._parser.in_head
         try:
-            position = self._parser.feed(data, start)
+            position = self._parser.feed(data, start, PARSE_SLICE)
         except TunnelRequested:
             self._input = Input.UNWANTED
             if self._pipelined:
@@ -422,7 +436,8 @@
         self._unparsed = data
         self._account.set(Held.INPUT, len(data))
 
-    def _parse_more(self) -> None:
+    def parse_more(self) -> None:
+        """Parses a further part of what was received."""
         self._is_parse_scheduled = False
         if not self._is_closing():
             self._parse()
@@ -685,7 +700,7 @@
             request.body_stream.push(body)
             return
         self._body += body
-        self._adjust_held(len(body))
+        self._uncounted += len(body)  # tiny chunks come in thousands: counted once for all that are parsed together
         if self._body_size > self._front.budget.stream_threshold(self._body_length):
             self._begin_streaming(request)
 
@@ -696,6 +711,7 @@
         if self._front.budget.memory.is_tight():
             raise BadRequest(503, "no memory is left for a long body")
         body, self._body = bytes(self._body), bytearray()
+        self._count_body()
         self._adjust_held(-self._body_size)
         request.body_stream = RequestBodyStream(
             self._front.budget, self._body_length, body, self._update_reading, self._account
@@ -719,6 +735,11 @@
             self._front.handler.body_ended(self)
         request.body_stream.end()
 
+    def _count_body(self) -> None:
+        if self._uncounted:
+            self._adjust_held(self._uncounted)
+            self._uncounted = 0
+
     def _adjust_held(self, size: int) -> None:
         self._account.add(Held.BODY, size)
 
@@ -748,7 +769,7 @@
                 self._front.handler.handle_request(self, request)
         if self._unparsed and self._can_parse() and not self._is_parse_scheduled:
             self._is_parse_scheduled = True
-            self._front.loop.call_soon(self._parse_more)
+            self._front.parse_queue.add(self)
         if self._continue_pending and self.request is None and not self._has_waiting() and not self._is_closing():
             self._continue_pending = False
             if self._transport is not None:
@@ -923,6 +944,7 @@
                 self._front.handler.client_gone(self)
                 self._finish_request()
         else:
+            self._count_body()
             self._adjust_held(-len(self._body))
             self._body = bytearray()
         self._pipelined.append(ClientRequest(b"", b"", [], b"", False, time.monotonic(), rejection=rejection))
@@ -980,6 +1002,7 @@
                 request.body_stream.drop()
         self._pipelined.clear()
         self._set_unparsed(b"")
+        self._uncounted = 0
         self._account.set(Held.BODY, 0)
         self._account.set(Held.HEAD, 0)
         self._account.set(Held.INCOMPLETE_HEAD, 0)
@@ -1140,10 +1163,13 @@
     closing: bool = False  # connections close after their next answer
     connections: dict[ClientConnection, None] = field(default_factory=dict)  # longest idle first
     lingering: dict[ClientConnection, None] = field(default_factory=dict)  # longest lingering first
+    parse_queue: ParseQueue = field(init=False)
+    _relieved_at: float = -math.inf
     _listener: Listener | None = None
 
     def __post_init__(self) -> None:
         self.descriptors.make_room = self.make_room
+        self.parse_queue = ParseQueue(self.loop)
 
     def listen(self, host: str, port: int) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -1247,6 +1273,10 @@
 
     def relieve_memory(self) -> None:
         """Refuses requests that are still being received, those that hold most first, until enough memory is free."""
+        now = self.loop.time()
+        if not has_elapsed(self._relieved_at, RELIEF_INTERVAL_S, now):
+            return
+        self._relieved_at = now
         excess = self.budget.memory.excess()
         receiving = [connection for connection in self.connections if connection.can_refuse_incoming()]
         receiving.sort(key=ClientConnection.held_bytes, reverse=True)
--- a/proxy/memory.py
+++ b/proxy/memory.py
@@ -6,7 +6,7 @@
 import math
 import os
 from contextlib import suppress
-from enum import Enum
+from enum import StrEnum
 from pathlib import Path
 
 STATM = Path("/proc/self/statm")  # proc(5): sizes in pages; the second is the resident set
@@ -14,7 +14,7 @@
 MB = 1_000_000  # bytes, as in the settings
 # Of what the process has left after its start. The rest is for what is not counted here: the allocator's gaps, lists of
 # servers, the balancer's figures, objects that are about to be released.
-HELD_SHARE = 0.6
+HELD_SHARE = 0.55
 SMALLEST_LIMIT = 1_000_000  # bytes held, where the start has taken nearly all
 TIGHT_SHARE = 0.75  # of the limit; above it no long body is begun, and answers are passed on in small pieces
 RELIEVED_SHARE = 0.9  # of the limit; requests that are still received are refused until no more than that is held
@@ -26,7 +26,7 @@
 OPEN_REQUEST_BYTES = 6_000
 
 
-class Held(Enum):
+class Held(StrEnum):
     """What memory is held for; the values are labels of metrics and of log lines."""
 
     CONNECTION = "connections"
--- a/proxy/request_parser.py
+++ b/proxy/request_parser.py
@@ -94,13 +94,15 @@
         self._tail = b""  # the last bytes of heads and chunks that were parsed: the end of a head may come in parts
         self._parser = httptools.HttpRequestParser(self)
 
-    def feed(self, data: bytes, start: int = 0) -> int:
+    def feed(self, data: bytes, start: int = 0, most: int = MAX_HEAD) -> int:
         """Parses the data from `start` on and calls the receiver. Returns the index of the first byte not parsed.
 
+        Of heads and chunks, each part of which is a call, at most that many bytes are parsed.
+
         At most one message ends in a call, so that the caller can leave the others until it has room for them. Raises
         BadRequest or TunnelRequested; no data may follow then.
         """
-        end = self._end_of_part(data, start)
+        end = self._end_of_part(data, start, most)
         try:
             self._feed_part(memoryview(data)[start:end])
         except httptools.HttpParserError as problem:
@@ -121,7 +123,7 @@
         """Breaks the reference cycles with httptools and the receiver, which would delay the release of a body."""
         del self._parser, self._receiver, self.on_body
 
-    def _end_of_part(self, data: bytes, start: int) -> int:
+    def _end_of_part(self, data: bytes, start: int, most: int) -> int:
         """The index at which the current message may end: the end of its body, or else the next blank line."""
         if self._body_left:
             end = min(start + self._body_left, len(data))
@@ -132,8 +134,9 @@
         if found >= 0:
             end = start + found + len(END_OF_HEAD) - len(self._tail)
         else:
-            found = data.find(END_OF_HEAD, start)
-            end = found + len(END_OF_HEAD) if found >= 0 else len(data)
+            stop = min(start + most, len(data))
+            found = data.find(END_OF_HEAD, start, stop)
+            end = found + len(END_OF_HEAD) if found >= 0 else stop
         self._tail = (self._tail + data[max(end - overlap, start) : end])[-overlap:]
         return end
 
--- a/tests/test_bursts.py
+++ b/tests/test_bursts.py
@@ -12,7 +12,8 @@
 
 from balancing import api
 from mastlift.lab.addresses import free_port
-from proxy.frontend import MAX_PIPELINED, ClientConnection
+from proxy.frontend import MAX_PIPELINED, PARSE_SLICE, ClientConnection
+from proxy.parsequeue import ParseQueue
 from tests.rig import Caller, FakeServer, Rig, make_config, member, run, scripted_proxy
 from tests.test_frontend import head
 from tests.test_process import launch, until_serving
@@ -29,6 +30,9 @@
     "proper": head("GET /read/1 HTTP/1.1", "X-Trace-Id: 1", "X-Qos: read", "X-Expires-In: 5"),
 }
 BAD_PEERS = 40
+CHUNK_SENDERS, CHUNKS = 5, 9_000
+TINY_CHUNK = b"1\r\nx\r\n"
+ORDER_IN_CHUNKS = head("POST /pay/1 HTTP/1.1", "X-Trace-Id: 1", "X-Expires-In: 9", "Transfer-Encoding: chunked")
 MEMORY_MB = 88  # of a proxy in the operators' test with many bad peers
 MIB = 1 << 20  # bytes
 
@@ -270,3 +274,64 @@
     """The memory that a process holds, in MiB."""
     lines = Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines()
     return next(int(line.split()[1]) * 1024 / MIB for line in lines if line.startswith("VmRSS:"))
+
+
+@mock.patch("proxy.frontend.PARSE_S", 0.0)
+@mock.patch("proxy.parsequeue.TURN_S", 0.0)
+def test_tiny_chunks_of_many_clients_are_parsed_in_small_parts_of_each_turn() -> None:
+    """Each read was parsed to its end: hundreds of clients kept the loop for seconds, and the others waited."""
+    chunks_of_turn = [0]
+    original = ClientConnection.body_received
+
+    def count(connection: ClientConnection, body: bytes) -> None:
+        chunks_of_turn[-1] += 1
+        original(connection, body)
+
+    async def count_turns() -> None:
+        while True:
+            chunks_of_turn.append(0)
+            await asyncio.sleep(0)
+
+    async def test() -> None:
+        async with scripted_proxy() as (_, _script, rig):
+            with mock.patch.object(ClientConnection, "body_received", count):
+                callers = [await rig.caller() for _ in range(CHUNK_SENDERS)]
+                for caller in callers:
+                    caller.writer.write(ORDER_IN_CHUNKS + TINY_CHUNK * CHUNKS)
+                turns = asyncio.create_task(count_turns())
+                while rig.budget.held < CHUNK_SENDERS * CHUNKS:
+                    await asyncio.sleep(0)
+                turns.cancel()
+            parts = CHUNK_SENDERS + 1  # a first part of each, and one from the queue
+            assert max(chunks_of_turn) <= parts * (PARSE_SLICE // len(TINY_CHUNK) + 1)
+
+    run(test)
+
+
+class Queued:
+    """A connection that has several parts to parse."""
+
+    def __init__(self, queue: ParseQueue, name: str, parts: int, log: list[str]) -> None:
+        self._queue, self._name, self._parts, self._log = queue, name, parts, log
+
+    def parse_more(self) -> None:
+        self._log.append(self._name)
+        self._parts -= 1
+        if self._parts:
+            self._queue.add(self)
+
+
+def test_connections_take_turns_and_others_run_between_the_turns() -> None:
+    async def test() -> None:
+        log: list[str] = []
+        queue = ParseQueue(asyncio.get_running_loop())
+        with mock.patch("proxy.parsequeue.TURN_S", 0.0):
+            queue.add(Queued(queue, "a", 2, log))
+            queue.add(Queued(queue, "b", 1, log))
+            while not queue.is_empty():
+                await asyncio.sleep(0)
+                log.append("-")
+        assert [name for name in log if name != "-"] == ["a", "b", "a"]
+        assert "".join(log).count("-a") == 1
+
+    run(test)
