--- a/mastlift/lab/cli.py
+++ b/mastlift/lab/cli.py
@@ -244,6 +244,28 @@
     _finish({**told}, json, broken)
 
 
+@app.command()
+def crowd_soak(
+    seeds: Annotated[int, typer.Option(min=1, help="How many runs.")] = 60,
+    seed: Seed = 100,
+    json: Json = False,
+) -> None:
+    """A real proxy that is killed, ended and reloaded in rows under crowds of slow and broken-off clients: its memory,
+    its own end, lost requests and orders that run twice. Exit code 1 if a run broke a rule; `--seeds 1 --seed THAT`
+    plays it again."""
+    from mastlift.lab.crowdsoak import soak
+
+    broken, most_mb = [], 0.0
+    with Progress(transient=True, disable=json) as progress:
+        for number in progress.track(range(seed, seed + seeds)):
+            with tempfile.TemporaryDirectory() as folder:
+                outcome = asyncio.run(soak(number, Path(folder)))
+            most_mb = max(most_mb, outcome.memory_mb)
+            if outcome.broken:
+                broken.append(str(outcome))
+    _finish({"runs": seeds, "first_seed": seed, "most_memory_mb": round(most_mb, 1)}, json, broken)
+
+
 @app.command()
 def lists(
     scenario: Annotated[list[str] | None, typer.Argument(help="By name; none: all in turn.")] = None,
