Proxy: the listener and the reading of requests in modules of their own

The entry of a server in a list stood in three places of the lab and stands in fleet.py now. No change of behaviour; tests name the constants where they are.

--- a/mastlift/lab/clientcrowd.py
+++ b/mastlift/lab/clientcrowd.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 from mastlift.lab.addresses import free_address
-from mastlift.lab.fleet import LANE, SETTINGS
+from mastlift.lab.fleet import LANE, SETTINGS, list_entry
 from mastlift.lab.processes import Child, started
 
 KB = 1024  # bytes of a line of /proc/PID/status
@@ -400,19 +400,6 @@
     servers_out_of_reach: bool = False  # connections to them never come up
 
 
-def _member(name: str, address: str) -> dict[str, Any]:
-    return {
-        "id": name,
-        "host_port": address,
-        "locality": "a",
-        "flavor": "std",
-        "cell": 0,
-        "phase": "in_service",
-        "size": 1.0,
-        "up_since_ms": 0,
-    }
-
-
 def configuration(plan: Plan, listen: str, servers: list[str]) -> dict[str, Any]:
     """The proxy's settings; its discovery can't be reached."""
     limits = {**SETTINGS["limits"], "max_open": 20_000}
@@ -426,7 +413,7 @@
         "known": {
             "revision": 1,
             "complete": True,
-            "members": [_member(f"s{number}", address) for number, address in enumerate(servers)],
+            "members": [list_entry(f"s{number}", address) for number, address in enumerate(servers)],
         },
     }
 
--- a/mastlift/lab/fleet.py
+++ b/mastlift/lab/fleet.py
@@ -65,6 +65,20 @@
 }
 
 
+def list_entry(name: str, address: str) -> dict[str, Any]:
+    """A ready server's entry in the endpoint list."""
+    return {
+        "id": name,
+        "host_port": address,
+        "locality": "a",
+        "flavor": "std",
+        "cell": 0,
+        "phase": "in_service",
+        "size": 1.0,
+        "up_since_ms": 0,
+    }
+
+
 @contextlib.asynccontextmanager
 async def backend(name: str) -> AsyncIterator[str]:
     """A stand-in server in this process that answers everything with its name; its address."""
@@ -96,19 +110,7 @@
     """A real proxy before the named backends; its address and process. `program` are Python's arguments."""
     listen = free_address()
     folder.mkdir(parents=True, exist_ok=True)
-    members = [
-        {
-            "id": name,
-            "host_port": address,
-            "locality": "a",
-            "flavor": "std",
-            "cell": 0,
-            "phase": "in_service",
-            "size": 1.0,
-            "up_since_ms": 0,
-        }
-        for name, address in backends.items()
-    ]
+    members = [list_entry(name, address) for name, address in backends.items()]
     config = {
         "name": "p1",
         "listen": listen,
--- a/mastlift/lab/movedlist.py
+++ b/mastlift/lab/movedlist.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 from mastlift.lab.addresses import free_address
-from mastlift.lab.fleet import SETTINGS, Client
+from mastlift.lab.fleet import SETTINGS, Client, list_entry
 from mastlift.lab.processes import Child, started
 
 GRACE_S = 0.25 + 0.05  # of the terms: after a change counts as told, and what sockets may add
@@ -241,18 +241,7 @@
             listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
             self._listeners.append(listener)
             host, port = listener.sockets[0].getsockname()[:2]
-            members.append(
-                {
-                    "id": server.name,
-                    "host_port": f"{host}:{port}",
-                    "locality": "a",
-                    "flavor": "std",
-                    "cell": 0,
-                    "phase": "in_service",
-                    "size": 1.0,
-                    "up_since_ms": 0,
-                }
-            )
+            members.append(list_entry(server.name, f"{host}:{port}"))
         plan = self._plan
         self.discovery = CrowdedDiscovery(members, plan.all_calls_s / plan.proxies)
         self._spawn(self.discovery.work(), self.discovery.keep_lines_coming())
--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -21,10 +21,11 @@
 import uvloop
 
 from proxy import control
+from proxy.client_request import RequestReader
 from proxy.config import BadConfig, NodeConfig, inherited_listener, load_config
 from proxy.control import AdminEndpoint, Configuration, admin_calls
 from proxy.flow import BodyBudget
-from proxy.frontend import Frontend, RequestReader
+from proxy.frontend import Frontend
 from proxy.handover import Handover
 from proxy.lifecycle import LifeCycle, Phase
 from proxy.memory import release_free_memory, resident_bytes
--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -13,9 +13,9 @@
 from enum import Enum
 from typing import Protocol, cast
 
-from balancing.api import Effect
+from proxy.client_request import ClientRequest, RequestReader, origin_form
 from proxy.clock import has_elapsed
-from proxy.config import Address, NodeConfig, method_of
+from proxy.config import Address
 from proxy.flow import (
     BODY_STALL_TIMEOUT_S,
     MAX_BODY,
@@ -26,6 +26,7 @@
     RequestBodyStream,
 )
 from proxy.lifecycle import LifeCycle
+from proxy.listener import Listener
 from proxy.memory import CLIENT_CONNECTION_BYTES, OPEN_REQUEST_BYTES, Held, MemoryAccount
 from proxy.metrics import ProxyMetrics
 from proxy.parsequeue import ParseQueue
@@ -43,9 +44,8 @@
 
 log = logging.getLogger(__name__)
 
-MAX_FRAMING_OVERHEAD = 8  # bytes on the wire per byte of a chunked body; small chunks have a high overhead
 BACKLOG = 1024
-ACCEPT_RETRY_S = 0.05  # pause after accept() failed, e.g. for lack of descriptors; closed connections free some
+MAX_FRAMING_OVERHEAD = 8  # bytes on the wire per byte of a chunked body; small chunks have a high overhead
 MIN_LINGER_S = 0.2  # a lingering connection (answered, input discarded) may be closed for a new one after this time
 PARSE_SLICE = 4 * 1024  # bytes of heads and chunks that are parsed between two looks at the clock
 PARSE_S = 0.002  # of a turn of the event loop for the data of one connection
@@ -60,10 +60,6 @@
 RECHECK_S = 0.05  # interval between checks of a connection whose received bytes the event loop has not read yet
 STALLED_HEAD_S = 1.0  # a connection without progress within a head for this long may be closed for a new one
 MIN_IDLE_S = 2.0  # a connection without a request may be closed for a new one after this time
-# Old class names stay valid for this time after a reload: clients use the new ones from 1.2 s after the signal, and
-# requests that they sent before may still arrive.
-PREVIOUS_CLASSES_S = 3.0
-BUSY_RETRY_AFTER_MS = 500.0  # Retry-After of requests that are refused because a limit of this proxy is reached
 LINGER_S = 1.0  # for this long the input of a connection that the proxy ends is still read, and discarded
 # Work for a client must stop within 0.1 s after it disconnected. While its connection is not read, only polling the
 # socket shows the end of its input; and a close differs from a half-close only by the reset that a few bytes provoke.
@@ -102,33 +98,6 @@
 )
 
 
-@dataclass(slots=True)
-class ClientRequest:
-    """A request of a client. RequestReader fills in the fields that depend on the settings."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-    keep_alive: bool
-    arrived_at: float  # time.monotonic() in seconds
-    rejection: Rejection | None = None  # set for a request that is not handled
-    body_stream: RequestBodyStream | None = None  # of a long body, which may be incomplete
-    is_http10: bool = False  # the answer must not be chunked
-    trace_id: str = ""
-    is_up_check: bool = False
-    class_index: int = 0
-    tenant: int = 0
-    left_ms: float = 0.0  # time to the deadline, from X-Expires-In
-    cost_ms: float | None = None  # estimated processing time, from X-Size-Hint
-    is_retry: bool = False
-    read_by: RequestReader | None = None  # shows whether the settings changed since the headers were read
-    held_head_bytes: int = 0  # the memory that the head takes
-
-    def is_body_incomplete(self) -> bool:
-        return self.body_stream is not None and not self.body_stream.ended
-
-
 class Handler(Protocol):
     """The proxy as the frontend sees it; its methods run on the event loop."""
 
@@ -151,85 +120,6 @@
         ...
 
 
-def read_number(text: bytes) -> float:
-    """Raises ValueError unless the text is a finite number."""
-    number = float(text)
-    if not math.isfinite(number):
-        raise ValueError(f"{text!r} is not a finite number")
-    return number
-
-
-def origin_form(target: bytes) -> bytes:
-    """Strips the scheme and the authority from a request target in absolute form."""
-    if target[:7].lower() != b"http://":
-        return target
-    path = target[7:].find(b"/")
-    return target[7 + path :] if path >= 0 else b"/"
-
-
-def retry_after_headers(config: NodeConfig, pause_ms: float) -> Headers:
-    """The Retry-After header for a refused request; none if the settings forbid it or there is no pause."""
-    if pause_ms <= 0 or not config.may_send_retry_after:
-        return []
-    return [(b"Retry-After", b"%.3f" % (pause_ms / 1000.0))]
-
-
-class RequestReader:
-    """Interprets the headers of requests according to one version of the settings."""
-
-    def __init__(self, config: NodeConfig) -> None:
-        classes = config.settings.classes
-        self._classes = {
-            name.encode(): (index, method_of(classes[index]), classes[index].effect)
-            for name, index in config.classes.items()
-        }
-        # Requests that match only the previous settings are accepted for PREVIOUS_CLASSES_S.
-        self._previous = {
-            name.encode(): (index, config.former_methods[name], classes[index].effect)
-            for name, index in config.former_classes.items()
-        }
-        self._previous_until = time.monotonic() + PREVIOUS_CLASSES_S
-        self._tenants = {name.encode(): index for name, index in config.tenants.items()}
-        self.busy_headers = retry_after_headers(config, BUSY_RETRY_AFTER_MS)
-
-    def read(self, request: ClientRequest) -> None:
-        """Sets the request's class, deadline, cost and tenant from its headers. Raises BadRequest."""
-        request.read_by = self
-        headers = {name.lower(): value for name, value in request.headers}
-        path_segment = request.target.split(b"?", 1)[0].split(b"/")[1:2]
-        name = headers.get(b"x-qos") or (path_segment[0] if path_segment else b"")
-        if path_segment != [name]:
-            raise BadRequest(400, "the path names another class than X-Qos")
-        request.class_index = self._class_of(request, name, bool(headers.get(b"idempotency-key")))
-        request.trace_id = headers.get(b"x-trace-id", b"").decode("latin-1")
-        if not request.trace_id:
-            raise BadRequest(400, "X-Trace-Id is missing")
-        try:
-            request.left_ms = read_number(headers[b"x-expires-in"]) * 1000.0
-            hint = headers.get(b"x-size-hint")
-            request.cost_ms = read_number(hint) / 1000.0 if hint else None
-        except (KeyError, ValueError):
-            raise BadRequest(400, "X-Expires-In or X-Size-Hint is missing or no number") from None
-        if not 0.0 < request.left_ms < math.inf:  # the conversion to ms can overflow
-            raise BadRequest(400, "X-Expires-In is not above 0, or beyond all numbers")
-        request.tenant = self._tenants.get(headers.get(b"x-customer", b""), 0)
-        request.is_retry = headers.get(b"x-second-try") == b"1"
-
-    def _class_of(self, request: ClientRequest, name: bytes, has_key: bool) -> int:
-        known = [self._classes.get(name)]
-        if time.monotonic() < self._previous_until:
-            known.append(self._previous.get(name))
-        rejection = Rejection(404, "unknown class")
-        for index, method, effect in filter(None, known):
-            if request.method != method:
-                rejection = Rejection(405, "the class has another method")
-            elif effect is Effect.KEYED and not has_key:
-                rejection = Rejection(400, "Idempotency-Key is missing")
-            else:
-                return index
-        raise BadRequest(*rejection)
-
-
 class Input(Enum):
     """State of the client's side of a connection."""
 
@@ -1089,66 +979,6 @@
         self._front.released(self)
 
 
-class Listener:
-    """Accepts connections in small batches.
-
-    So a burst never exceeds the clients' share of descriptors, even briefly, and those reserved for discovery, servers
-    and the admin endpoint stay free. After a failed accept() it pauses for ACCEPT_RETRY_S instead of spinning.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, listening: socket.socket, front: Frontend) -> None:
-        self.socket = listening
-        self._loop = loop
-        self._front = front
-        self._pending_setups: set[asyncio.Task[None]] = set()
-        self._retry_timer: asyncio.TimerHandle | None = None
-        listening.setblocking(False)
-        loop.add_reader(listening.fileno(), self._accept)
-
-    def _accept(self) -> None:
-        """Accepts at least one connection: without a free place it is closed at once and not left in the backlog."""
-        while not self._pending_setups or self._front.has_room_for(len(self._pending_setups) + 1):
-            try:
-                connected, _ = self.socket.accept()
-            except BlockingIOError:
-                return
-            except ConnectionAbortedError:
-                continue
-            except OSError as problem:
-                log.warning("accepting connections paused for %.2f s: %s", ACCEPT_RETRY_S, problem)
-                self._loop.remove_reader(self.socket.fileno())
-                self._retry_timer = self._loop.call_later(ACCEPT_RETRY_S, self._resume_accepting)
-                return
-            task = self._loop.create_task(self._set_up(connected))
-            self._pending_setups.add(task)
-
-    async def _set_up(self, connected: socket.socket) -> None:
-        connected.setblocking(False)
-        try:
-            await self._loop.connect_accepted_socket(lambda: ClientConnection(self._front), connected)
-        except OSError:
-            connected.close()  # the client has disconnected already
-        finally:
-            self._pending_setups.discard(cast("asyncio.Task[None]", asyncio.current_task()))
-
-    def _resume_accepting(self) -> None:
-        self._retry_timer = None
-        self._loop.add_reader(self.socket.fileno(), self._accept)
-
-    def has_pending(self) -> bool:
-        """Connections wait in the backlog or are being set up."""
-        poll = select.poll()
-        poll.register(self.socket.fileno(), select.POLLIN)
-        return bool(self._pending_setups or poll.poll(0))
-
-    def close(self) -> None:
-        if self._retry_timer is not None:
-            self._retry_timer.cancel()
-        else:
-            self._loop.remove_reader(self.socket.fileno())
-        self.socket.close()
-
-
 @dataclass
 class Frontend:
     """All client connections of the process and their listener, within the limit on descriptors."""
@@ -1185,7 +1015,7 @@
     def listen_on(self, listening: socket.socket) -> None:
         """Listens on a socket that other processes may share; only this process's descriptor of it is ever closed."""
         listening.listen(BACKLOG)
-        self._listener = Listener(self.loop, listening, self)
+        self._listener = Listener(self.loop, listening, lambda: ClientConnection(self), self.has_room_for)
 
     def address(self) -> Address:
         """The listener's host and port."""
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -18,16 +18,11 @@
 from balancing.api import ListKind, Outcome, State
 from balancing.outdated import OutdatedList
 from balancing.sentids import SentIds
+from proxy.client_request import BUSY_RETRY_AFTER_MS, ClientRequest, retry_after_headers
 from proxy.config import Address, NodeConfig
 from proxy.discovery import Discovery, ListReader
 from proxy.flow import BodyBudget
-from proxy.frontend import (
-    BUSY_RETRY_AFTER_MS,
-    HOP_BY_HOP_HEADERS,
-    ClientConnection,
-    ClientRequest,
-    retry_after_headers,
-)
+from proxy.frontend import HOP_BY_HOP_HEADERS, ClientConnection
 from proxy.lifecycle import LifeCycle
 from proxy.listfile import read_list
 from proxy.metrics import ProxyMetrics
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -15,9 +15,10 @@
 import uvloop
 
 from balancing import api
+from proxy.client_request import RequestReader
 from proxy.config import NodeConfig, read_config
 from proxy.flow import BodyBudget
-from proxy.frontend import Frontend, RequestReader
+from proxy.frontend import Frontend
 from proxy.lifecycle import LifeCycle
 from proxy.proxy import Proxy
 from proxy.upstream import Descriptors
--- a/tests/test_descriptor_reserve.py
+++ b/tests/test_descriptor_reserve.py
@@ -110,7 +110,7 @@
                 return host, port
 
         with (
-            mock.patch.object(frontend, "ACCEPT_RETRY_S", 0.02),
+            mock.patch("proxy.listener.ACCEPT_RETRY_S", 0.02),
             mock.patch.object(rig.front._listener, "socket", Exhausted(rig.front._listener.socket)),
         ):
             caller = Caller(*await asyncio.open_connection(*rig.front.address()))
--- a/tests/test_known_faults.py
+++ b/tests/test_known_faults.py
@@ -18,7 +18,7 @@
 from mastlift.lab.crash import LIFE
 from mastlift.lab.simdisk import SimDisk
 from mastlift.store.machine import Store
-from proxy.frontend import origin_form
+from proxy.client_request import origin_form
 
 
 class EntryCounter:
--- a/tests/test_late_loop.py
+++ b/tests/test_late_loop.py
@@ -16,7 +16,8 @@
 import pytest
 
 from balancing import api
-from proxy.frontend import MIN_LINGER_S, ClientConnection, ClientRequest
+from proxy.client_request import ClientRequest
+from proxy.frontend import MIN_LINGER_S, ClientConnection
 from proxy.proxy import Attempt, LiveRequest
 from proxy.upstream import Connection
 from tests.rig import Caller, FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -16,8 +16,8 @@
 from balancing import api
 from balancing.api import Effect, Outcome
 from proxy.__main__ import Reload
+from proxy.client_request import RequestReader
 from proxy.config import BadConfig, NodeConfig, load_config
-from proxy.frontend import RequestReader
 from tests.harness import KEYED, SAFE, SETTINGS, UNSAFE, Checker, servers
 from tests.rig import LANES, FakeServer, Rig, Script, first_to, make_config, member, run
 
@@ -202,7 +202,7 @@
             assert (await late.answer()).body == b"new"
             held.reply(200, b"held")
             assert (await early.answer()).body == b"held"
-            with mock.patch("proxy.frontend.PREVIOUS_CLASSES_S", 0.0):
+            with mock.patch("proxy.client_request.PREVIOUS_CLASSES_S", 0.0):
                 rig.front.reader = RequestReader(config)
             late.ask("book")
             assert (await late.answer()).status == 404  # removed, and clients no longer use it
@@ -224,7 +224,7 @@
             assert config.settings.classes[arrival.class_index].effect is Effect.UNSAFE
             (await backend.next()).reply(200, b"ok")
             assert (await caller.answer()).status == 200
-            with mock.patch("proxy.frontend.PREVIOUS_CLASSES_S", 0.0):
+            with mock.patch("proxy.client_request.PREVIOUS_CLASSES_S", 0.0):
                 rig.front.reader = RequestReader(config)
             caller.ask("read")
             assert (await caller.answer()).status == 405
