Proxy: the next request after one that waited unread has its whole time

Cause: the stretch ended only after 5 ms without data. Change: it also ends with an answer after which nothing is unread and nothing was read for 1 ms: a client that waits for its answers has nothing on its way then. Evidence: the new test in tests/test_slow_servers.py, seen to fail without it.

--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -55,6 +55,7 @@
 READ_TIMEOUT_S = 2.5
 BODY_GRACE_S = 0.8  # time, from the end of the head, that a body may lag behind MIN_BODY_RATE
 CLIENT_SEND_BUFFER = 4 << 20  # bytes that a client's system may take before we read any: tcp_wmem of tcp(7)
+IN_FLIGHT_S = 0.001  # the same for a client that waits for its answer before it writes more
 BURST_GAP_S = 0.005  # what a client wrote before comes within this time after room was made for it
 RELIEF_INTERVAL_S = 0.005  # between two looks at all connections for requests to refuse
 RECHECK_S = 0.05  # interval between checks of a connection whose received bytes the event loop has not read yet
@@ -809,6 +810,8 @@
         elif self._has_waiting() or self._continue_pending:
             self._front.loop.call_soon(self._process_next)
         else:
+            if time.monotonic() - self._received_at > IN_FLIGHT_S and not self._poll(select.POLLIN):
+                self._blocked_since = None
             self._front.mark_idle(self)
 
     def _reject_input(self, rejection: Rejection) -> None:
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -114,6 +114,27 @@
     run(test)
 
 
+def test_the_next_request_after_one_that_waited_unread_has_its_whole_time() -> None:
+    """The client sends it as soon as it has its answer."""
+
+    async def test() -> None:
+        async with scripted_proxy() as (backend, script, rig):
+            caller = await rig.caller()
+            caller.ask(left="5.0")
+            call = await backend.next()
+            (connection,) = rig.front.connections
+            connection._blocked_since = time.monotonic() - 10.0
+            await asyncio.sleep(0.003)
+            call.reply(200)
+            await caller.answer()
+            caller.ask(left="5.0")
+            await backend.next()
+            arrived = [event for event in script.events if isinstance(event, api.RequestArrived)]
+            assert arrived[-1].left_ms > 4_000.0
+
+    run(test)
+
+
 def test_a_request_that_waits_unread_has_its_time_from_when_it_came() -> None:
     """Requests behind others that wait were given their whole time anew when they were read."""
 
