Proxy: a client within a long body is sent no interim answer that it did not ask for

Cause: the probe for closes that wait behind unread data was also sent to a client whose current body had not come whole, when an attempt began 50 ms after the last read; beside load the connection to the server came up that late. Such a client is an ordinary one that uploads, and connections that come up late are ordinary too.

Change: only requests that are whole are probed for, with unread requests behind them. Evidence: the new test in tests/test_hidden_closes.py, seen to fail without it.

--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -455,8 +455,9 @@
 
     def _may_hide_end(self) -> bool:
         """The client's end may wait behind data that is not read, where the socket does not show it."""
-        if not self._reading_paused or (self.request is not None and self.request.is_http10):
-            return False
+        request = self.request
+        if not self._reading_paused or (request is not None and (request.is_http10 or request.is_body_incomplete())):
+            return False  # within a body an ordinary client expects no interim answer
         return time.monotonic() - self._received_at > CONFIRMATION_S and bool(self._poll(select.POLLIN))
 
     def _is_confirmed(self) -> bool:
--- a/tests/test_hidden_closes.py
+++ b/tests/test_hidden_closes.py
@@ -124,6 +124,22 @@
     run(test)
 
 
+def test_a_client_within_a_long_body_is_sent_no_interim_answer() -> None:
+    async def test() -> None:
+        backend = await FakeServer().start()
+        with Script().installed() as script:
+            rig = await Rig().start(member("s1", backend.address))
+            caller = await rig.caller()
+            caller.writer.write(order("t0", 1_000_000))
+            arrived = await script.until(api.RequestArrived)
+            await asyncio.sleep(2 * DISCONNECT_LIMIT_S)
+            rig.proxy._carry_out(api.Send(arrived.request, "s1"))
+            (await backend.next()).reply(200, b"whole")
+            assert (await caller.answer()).body == b"whole"
+
+    run(test)
+
+
 @pytest.mark.parametrize("half_closed", [False, True])
 def test_a_client_that_is_still_there_gets_its_retry_and_all_its_answers(half_closed: bool) -> None:
     async def test() -> None:
