Proxy: a blocked stretch of reading ends with a pause of the client

Seen in tracing the failure before: a connection that was blocked while its client wrote, and whose last read took just as much as it could, still counted as blocked when the client went on half a second later: its request was refused as out of time. And a read right after a long pause of the reading ended a stretch that was not over.

Change: the gap is counted from the last read or the end of the pause, and is 50 ms after a read that took as much as it could. Evidence: the new test in tests/test_slow_servers.py, seen to fail without the change.

--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -55,6 +55,7 @@
 READ_TIMEOUT_S = 2.5
 BODY_GRACE_S = 0.8  # time, from the end of the head, that a body may lag behind MIN_BODY_RATE
 CLIENT_SEND_BUFFER = 4 << 20  # bytes that a client's system may take before we read any: tcp_wmem of tcp(7)
+FULL_READ_GAP_S = 0.05  # the same after a read that took as much as it could
 IN_FLIGHT_S = 0.001  # the same for a client that waits for its answer before it writes more
 BURST_GAP_S = 0.005  # what a client wrote before comes within this time after room was made for it
 RELIEF_INTERVAL_S = 0.005  # between two looks at all connections for requests to refuse
@@ -190,6 +191,7 @@
         "_received_at",
         "_request_began_at",
         "_reset_probe_sent",
+        "_resumed_at",
         "_send_progress",
         "_source",
         "_stall_timer",
@@ -216,6 +218,7 @@
         self._received_at = 0.0  # when the last data came; time.monotonic() in seconds
         # Since when data may wait unread, on the same clock: the client may have written all of them by then.
         self._blocked_since: float | None = None
+        self._resumed_at = 0.0  # when reading was last resumed, on the same clock
         self._offered = 0  # bytes that the last read could take
         self._is_drained = True  # the last read left nothing in the socket, and all of it was parsed
         self._incomplete_head_size = 0  # bytes, which the parser buffers without a limit
@@ -266,7 +269,8 @@
         if self._input is not Input.OPEN:
             return
         now = time.monotonic()
-        if self._is_drained and now - self._received_at > BURST_GAP_S:
+        quiet_s = now - max(self._received_at, self._resumed_at)
+        if quiet_s > (BURST_GAP_S if self._is_drained else FULL_READ_GAP_S):
             self._blocked_since = None
         self._received_at = now
         self._set_unparsed(self._unparsed + self._front.budget.read_buffer()[:nbytes])
@@ -701,6 +705,7 @@
                 setattr(self, name, getattr(self, name) + now - self._paused_at)
             if self._has_read_all() or (self._blocked_since or 0.0) > time.monotonic() - BURST_GAP_S:
                 self._blocked_since = None
+            self._resumed_at = time.monotonic()
             self._transport.resume_reading()
 
     def body_sent_since(self) -> float | None:
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from balancing import api
+from proxy.flow import MAX_CHUNK
 from tests.rig import FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_bodies import raw_server
 
@@ -114,6 +115,28 @@
     run(test)
 
 
+def test_a_pause_of_the_client_within_its_body_ends_a_blocked_stretch_whatever_the_last_read_took() -> None:
+    """A read that took just as much as it could leaves no sign that nothing was left behind it."""
+
+    async def test() -> None:
+        async with scripted_proxy() as (backend, _script, rig):
+            caller = await rig.caller()
+            caller.writer.write(
+                b"POST /pay/1 HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Qos: pay\r\nX-Expires-In: 0.4\r\n"
+                b"Content-Length: %d\r\n\r\n" % (3 * MAX_CHUNK) + bytes(2 * MAX_CHUNK)
+            )
+            await asyncio.sleep(0.2)
+            (connection,) = rig.front.connections
+            connection._blocked_since = time.monotonic() - 0.2
+            connection._is_drained = False
+            await asyncio.sleep(0.5)
+            caller.writer.write(bytes(MAX_CHUNK))
+            (await backend.next()).reply(200, b"whole")
+            assert (await caller.answer()).body == b"whole"
+
+    run(test)
+
+
 def test_the_next_request_after_one_that_waited_unread_has_its_whole_time() -> None:
     """The client sends it as soon as it has its answer."""
 
