Proxy: an id is free once its client is answered, whatever attempts were still unsent

Seen in a further reading: a request that failed with an answer, while a second attempt of it waited for its connection, left its id as one without an answer for 30 s; the same id would get 409.

Cause: ending the unsent attempts can end the request, and its id was released or kept by a flag that was set only afterwards. Change: the flag is set when the client is taken off the request. Evidence: the new test in tests/test_sent_ids.py, seen to fail without the change.

--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -616,9 +616,9 @@
         if request.streaming_attempt is not None:
             return  # an answer is being streamed
         client = self._detach_client(request)
+        request.is_answered = client is not None
         self._end_unsent_attempts(request)
         if client is not None:
-            request.is_answered = True
             if reason is not None:
                 self._metrics.unserved.add(reason.value)
                 self._unserved.write(request, status, reason)
--- a/tests/test_sent_ids.py
+++ b/tests/test_sent_ids.py
@@ -12,6 +12,8 @@
 from balancing import api
 from balancing.sentids import MAX_REMEMBERED, REMEMBERED_MS, SentIds
 from mastlift.lab.addresses import free_port
+from mastlift.lab.clientcrowd import Unreachable
+from proxy.config import read_address
 from proxy.sentidfiles import SentIdFiles
 from tests.rig import FakeServer, make_config, member, run, scripted_proxy
 from tests.test_control import call, launch
@@ -81,6 +83,27 @@
     run(test)
 
 
+def test_an_id_is_free_once_its_client_is_answered_while_an_attempt_waits_to_be_sent() -> None:
+    nowhere = Unreachable()
+
+    async def test() -> None:
+        async with scripted_proxy() as (backend, script, rig):
+            rig.proxy._addresses["s2"] = read_address(nowhere.address)
+            caller = await rig.caller()
+            caller.ask("pay", trace=ID)
+            call = await backend.next()
+            script.react = lambda event: (
+                [api.Send(event.request, "s2"), api.Fail(event.request)]
+                if isinstance(event, api.AttemptEnded) and event.attempt == 0
+                else []
+            )
+            call.reply(500)
+            assert (await caller.answer()).status == 502
+            assert rig.proxy.sent_ids.all() == []
+
+    run(test)
+
+
 @pytest.mark.parametrize("end", ["answered", "never sent"])
 def test_an_id_that_was_answered_or_never_sent_may_come_again(end: str) -> None:
     async def test() -> None:
