--- a/proxy/upstream.py
+++ b/proxy/upstream.py
@@ -30,8 +30,7 @@
 # taken for the answer to the next request, so a connection is reused only after this time. Data that arrives meanwhile,
 # or is still unread at the reuse, closes the connection.
 MIN_IDLE_S = 0.025
-# An answer that does not state its length may be a long one: it is passed on as it comes after this time.
-HOLD_UNSIZED_S = 0.5  # between checks whether it comes fast enough for one
+HOLD_UNSIZED_S = 0.5  # interval between checks whether an answer without a length comes as fast as a long one may
 NEVER_RAN_STATUS = (503, 504)
 
 
