Lab: one connection for both kinds of sound clients, and their errors end the run

Seen in a further reading: the sound client of the crowds stood twice, and the one of the plain crowds ended with an error at an interim answer; the error was swallowed, so a run could pass with nobody asking any more. In no run so far is an interim answer known to have come to it.

Change: KeptConnection in clientcrowd.py passes over interim answers and serves both; an error of a sound client fails the run.

--- a/mastlift/lab/clientcrowd.py
+++ b/mastlift/lab/clientcrowd.py
@@ -337,13 +337,45 @@
         return f"{self.memory_mb:.1f} MB at most, {end}; sound clients: {answers}; the slowest {self.slowest_s:.2f} s"
 
 
+class KeptConnection:
+    """A client's connection, which it keeps while the proxy does; one request at a time."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._address = address
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    def is_open(self) -> bool:
+        """The next request goes out on a connection that was used before."""
+        return self._streams is not None
+
+    async def exchange(self, request: bytes) -> str:
+        """The status of the final answer. Raises OSError or IncompleteReadError."""
+        if self._streams is None:
+            self._streams = await asyncio.open_connection(*self._address)
+        reader, writer = self._streams
+        writer.write(request)
+        status = b"100"
+        while status.startswith(b"1"):
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            status = head.split(b" ")[1]
+        await reader.readexactly(int(head.split(b"content-length: ")[1].split(b"\r\n")[0]))
+        if b"connection: close" in head:
+            self.close()
+        return status.decode()
+
+    def close(self) -> None:
+        """Ends it at once."""
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+            self._streams = None
+
+
 class SoundClient:
     """Sends one proper request after another, on a connection that it keeps while the proxy does."""
 
     def __init__(self, address: tuple[str, int], outcome: Outcome) -> None:
-        self._address = address
+        self.connection = KeptConnection(address)
         self._outcome = outcome
-        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def run(self) -> None:
         """Until it is cancelled."""
@@ -358,33 +390,17 @@
 
     async def _ask(self) -> str:
         """The status. A request that crosses the end of a kept connection is sent once more on a new one."""
-        is_kept = self._streams is not None
+        is_kept = self.connection.is_open()
         try:
             async with asyncio.timeout(SOUND_DEADLINE_S + 2 * OVERDUE_S):
-                return await self._exchange()
+                return await self.connection.exchange(request_head("GET", "/read/1", SOUND_DEADLINE_S))
         except TimeoutError:
-            self.close()
+            self.connection.close()
             return "no answer"
         except (OSError, asyncio.IncompleteReadError):
-            self.close()
+            self.connection.close()
             return await self._ask() if is_kept else "closed"
 
-    async def _exchange(self) -> str:
-        if self._streams is None:
-            self._streams = await asyncio.open_connection(*self._address)
-        reader, writer = self._streams
-        writer.write(request_head("GET", "/read/1", SOUND_DEADLINE_S))
-        head = (await reader.readuntil(b"\r\n\r\n")).lower()
-        await reader.readexactly(int(head.split(b"content-length: ")[1].split(b"\r\n")[0]))
-        if b"connection: close" in head:
-            self.close()
-        return head.split(b" ")[1].decode()
-
-    def close(self) -> None:
-        if self._streams is not None:
-            self._streams[1].transport.abort()
-            self._streams = None
-
 
 @dataclass(frozen=True, slots=True)
 class Plan:
@@ -519,7 +535,10 @@
     outcome.is_alive = child.process.returncode is None
     for task in tasks:
         task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    results = await asyncio.gather(*tasks, return_exceptions=True)
     await crowd.leave()
     for client in sound:
-        client.close()
+        client.connection.close()
+    for result in results:
+        if isinstance(result, Exception):
+            raise result  # a client that has stopped asking would go unnoticed
--- a/mastlift/lab/crowdsoak.py
+++ b/mastlift/lab/crowdsoak.py
@@ -24,6 +24,7 @@
     OVERDUE_S,
     Backend,
     Crowd,
+    KeptConnection,
     Plan,
     Trouble,
     configuration,
@@ -124,10 +125,9 @@
     """Sends proper requests one after the other, orders and reads, on a connection that it keeps while it may."""
 
     def __init__(self, address: tuple[str, int], soak: Soak, chance: random.Random) -> None:
-        self._address = address
+        self.connection = KeptConnection(address)
         self._soak = soak
         self._chance = chance
-        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def run(self) -> None:
         """Until it is cancelled."""
@@ -141,7 +141,7 @@
         deadline_s = self._chance.choice(DEADLINES_S)
         began, kills = time.monotonic(), self._soak.kills
         for is_first in (True, False):
-            is_kept = self._streams is not None
+            is_kept = self.connection.is_open()
             result = await self._try(trace, deadline_s, is_order)
             if result == "closed" and is_kept and is_first:
                 continue  # it may have crossed the end of the connection: sent once more on a new one
@@ -153,34 +153,16 @@
         fields = ("X-Sound: 1", "Content-Length: 0") if is_order else ("X-Sound: 1",)
         try:
             async with asyncio.timeout(deadline_s + 4 * OVERDUE_S):
-                if self._streams is None:
-                    self._streams = await asyncio.open_connection(*self._address)
-                self._streams[1].write(request_head(method, path, deadline_s, *fields, trace=trace))
-                return await self._answer(self._streams[0])
+                return await self.connection.exchange(request_head(method, path, deadline_s, *fields, trace=trace))
         except TimeoutError:
-            self.close()
+            self.connection.close()
             return "no answer"
         except ConnectionRefusedError:
             return "nobody listens"
         except (OSError, asyncio.IncompleteReadError):
-            self.close()
+            self.connection.close()
             return "closed"
 
-    async def _answer(self, reader: asyncio.StreamReader) -> str:
-        status = b"100"
-        while status == b"100":
-            head = (await reader.readuntil(b"\r\n\r\n")).lower()
-            status = head.split(b" ")[1]
-        await reader.readexactly(int(head.split(b"content-length: ")[1].split(b"\r\n")[0]))
-        if b"connection: close" in head:
-            self.close()
-        return status.decode()
-
-    def close(self) -> None:
-        if self._streams is not None:
-            self._streams[1].transport.abort()
-            self._streams = None
-
 
 class Soak:
     """The processes and clients of one run."""
@@ -239,7 +221,7 @@
             for crowd in crowds:
                 await crowd.leave()
             for client in sound:
-                client.close()
+                client.connection.close()
         for server in servers:
             await server.stop()
         for trace, count in self._runs.items():
