--- a/review/10/case.py
+++ b/review/10/case.py
@@ -16,7 +16,8 @@
 CONNECT_EVERY_S, ASK_EVERY_S, SEND_FOR_S = 0.01, 0.1, 0.2  # of the front
 REST_S = 0.5  # between two requests of a client
 EMPTY_AFTER_S = 4.0 + 0.15
-ORDER_AT_SHARE = 0.6  # of the time that a new process needs to say yes
+# The order comes this long before the new process says yes: a time, or a share of what it needs for its start.
+ORDER_BEFORE_S, ORDER_BEFORE_SHARE = 0.12, 0.15
 
 
 async def launch(config: dict[str, Any], temporary: Path, record: rig.Record, listener: socket.socket) -> Any:
@@ -109,7 +110,7 @@
     await asyncio.sleep(0.3)
     if rig.TROUBLE:
         _, new_control = await launch(config, temporary, record, listener)
-        await asyncio.sleep(ORDER_AT_SHARE * start_s)
+        await asyncio.sleep(max(start_s - max(ORDER_BEFORE_S, ORDER_BEFORE_SHARE * start_s), 0.0))
     ordered_at = time.monotonic()
     if (await rig.call(control, "POST", "/api/evacuate")).status != 200:
         raise RuntimeError("the proxy does not take the order")
