Proxy: open requests end before SIGKILL after a reload dropped the longest deadline

Cause: leave() took the longest deadline of settings.classes, where a reload keeps the former classes for late clients. It now takes the classes in force, in restarts and in the old process of an upgrade, and logs the time.

--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -239,8 +239,8 @@
     Requests that are still open shortly before the expected SIGKILL are failed.
     """
     loop = asyncio.get_running_loop()
-    longest_s = max(cls.deadline_ms for cls in config.settings.classes) / 1000.0
-    fail_all_at = loop.time() + min(longest_s, MAX_WAIT_S) + KILL_AFTER_S - KILL_MARGIN_S
+    fail_all_at = loop.time() + min(config.longest_deadline_s(), MAX_WAIT_S) + KILL_AFTER_S - KILL_MARGIN_S
+    log.info("open requests are failed in %.2f s, before the process is killed", fail_all_at - loop.time())
     if life.has_successor():
         # The newer process accepts new connections. Requests on connections made here before are still served.
         front.stop_listening()
--- a/proxy/config.py
+++ b/proxy/config.py
@@ -78,6 +78,10 @@
     former_classes: dict[str, int] = field(default_factory=dict)
     former_methods: dict[str, bytes] = field(default_factory=dict)
 
+    def longest_deadline_s(self) -> float:
+        """The longest deadline of a class in force; former classes, which clients use for a while, don't count."""
+        return max(self.settings.classes[index].deadline_ms for index in self.classes.values()) / 1000.0
+
 
 def read_address(text: str) -> Address:
     """Parses HOST:PORT, where HOST may be an IPv6 address in brackets. Raises ValueError."""
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -15,7 +15,7 @@
 
 from balancing import api
 from balancing.api import Effect, Outcome
-from proxy.__main__ import Reload
+from proxy.__main__ import Reload, leave
 from proxy.client_request import RequestReader
 from proxy.config import BadConfig, NodeConfig, load_config
 from tests.harness import KEYED, SAFE, SETTINGS, UNSAFE, Checker, servers
@@ -318,3 +318,54 @@
             assert set(rig.proxy._addresses) == {"s1", "s2"}
 
     run(test)
+
+
+KILL_AFTER_S = 0.7  # of the protocol: SIGKILL follows SIGTERM no sooner than the longest deadline plus this
+SHORT = {"aim_ms": 200.0, "deadline_ms": 200.0}
+REMOVED_DEADLINES = {
+    "a dropped class": [{**LANES[0], **SHORT}, {**LANES[2], **SHORT}],
+    "a class of another effect": [{**LANES[0], **SHORT}, {**LANES[1], **SHORT, "effect": "fragile"}, LANES[2] | SHORT],
+    "a class that keeps its effect": [lane | SHORT for lane in LANES],
+}
+
+
+@pytest.mark.parametrize("is_replaced", [False, True], ids=["restart", "upgrade"])
+@pytest.mark.parametrize("lanes", REMOVED_DEADLINES.values(), ids=REMOVED_DEADLINES)
+def test_open_requests_are_answered_before_sigkill_after_a_reload_removed_the_longest_deadline(
+    lanes: list[dict[str, Any]], is_replaced: bool, tmp_path: Path
+) -> None:
+    """They were left open: the deadline of a class that only late clients still use was the longest (review/6)."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        backend = await FakeServer().start()
+        with Script().installed() as script:
+            script.react = first_to("s1")
+            long = [LANES[0] | SHORT, LANES[1] | {"deadline_ms": 6000.0}, LANES[2] | SHORT]
+            rig = await Rig().start(member("s1", backend.address), lanes=long)
+            config = Running(tmp_path, rig).take(new_lanes(*lanes))
+            rig.life.has_successor = lambda: is_replaced
+            caller = await rig.caller()
+            caller.ask("pay", left="60.0")
+            await backend.next()
+            rig.life.leave()
+            killed_at = loop.time() + config.longest_deadline_s() + KILL_AFTER_S
+            leaving = asyncio.create_task(leave(config, rig.proxy, rig.front, rig.life))
+            async with asyncio.timeout_at(killed_at):
+                assert (await caller.answer()).status == 502
+            await leaving
+
+    run(test)
+
+
+def test_the_longest_deadline_is_that_of_the_last_of_several_reloads(tmp_path: Path) -> None:
+    def lanes(*deadlines_ms: float) -> dict[str, Any]:
+        return new_lanes(
+            *({**lane, "deadline_ms": deadline} for lane, deadline in zip(LANES, deadlines_ms, strict=False))
+        )
+
+    config = load_config(written(tmp_path, lanes(200.0, 300.0, 6000.0)))
+    assert config.longest_deadline_s() == 6.0
+    for raw, expected_s in ((lanes(200.0, 300.0), 0.3), (lanes(500.0), 0.5), (lanes(200.0, 4000.0), 4.0)):
+        config = load_config(written(tmp_path, raw), config)
+        assert config.longest_deadline_s() == expected_s
