Proxy: an answer without a length is not cut off while its server writes on

Cause: such an answer was passed on only if it came at 40 kB a second on the whole; else it was held until 64 KiB had come, also beyond 2 s, and ended with the client's time. Now it is passed on while it still comes: it has grown in the last second, and by more than a trickle (proxy/receiving.py).

--- /dev/null
+++ b/proxy/receiving.py
@@ -0,0 +1,48 @@
+"""Progress of an answer that states no length: how fast it comes, and whether it still does.
+
+Such an answer may turn out short (up to MAX_BUFFERED_BODY), so that its last byte is due within the client's time, or
+long, so that its first bytes are. Until it is over that size only its progress tells which one is likely.
+"""
+
+from __future__ import annotations
+
+from proxy.clock import has_elapsed
+from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BUFFERED_BODY, MIN_BODY_RATE
+
+MAX_REST_S = 1.0  # a server that writes nothing for this long has stopped
+# Bytes per second; an answer that comes slower would be over MAX_BUFFERED_BODY only after BODY_STALL_TIMEOUT_S.
+MIN_ANSWER_RATE = MAX_BUFFERED_BODY / BODY_STALL_TIMEOUT_S
+
+
+class ReceiveProgress:
+    """When and how fast an answer's body grew. All times are in seconds on the event loop's clock."""
+
+    __slots__ = ("_began_at", "_counted", "_grown_at", "size")
+
+    def __init__(self, now: float) -> None:
+        """`now` is when the first bytes of the body came."""
+        self.size = 0  # bytes
+        self._began_at = self._grown_at = now
+        self._counted = 0  # bytes that had come by `_grown_at`
+
+    def add(self, size: int, now: float) -> None:
+        """Counts received bytes. A trickle below MIN_ANSWER_RATE is no progress."""
+        self.size += size
+        if self.size - self._counted >= MIN_ANSWER_RATE * min(now - self._grown_at, MAX_REST_S):
+            self._counted, self._grown_at = self.size, now
+
+    def has_grown_within(self, duration_s: float, now: float) -> bool:
+        return not has_elapsed(self._grown_at, duration_s, now)
+
+    def is_fast(self, now: float) -> bool:
+        """Whether all of it came at the pace of the slowest peers that the proxy reckons with."""
+        return self.size >= MIN_BODY_RATE * (now - self._began_at)
+
+    def is_long(self) -> bool:
+        return self.size > MAX_BUFFERED_BODY
+
+    def still_comes(self, now: float) -> bool:
+        """Whether the server goes on with an answer that may become a long one."""
+        if self.is_long():
+            return True
+        return self.has_grown_within(MAX_REST_S, now) and self.size >= MIN_ANSWER_RATE * (now - self._began_at)
--- a/proxy/upstream.py
+++ b/proxy/upstream.py
@@ -20,9 +20,10 @@
 from balancing.api import Outcome
 from proxy.clock import has_elapsed
 from proxy.config import Address
-from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, MIN_BODY_RATE, BodyBudget, RequestBodyStream
+from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BODY, MAX_BUFFERED_BODY, BodyBudget, RequestBodyStream
 from proxy.memory import SERVER_CONNECTION_BYTES, Held, MemoryAccount
 from proxy.metrics import ProxyMetrics
+from proxy.receiving import ReceiveProgress
 from proxy.request_parser import MAX_HEAD, MAX_HEADER_FIELDS
 
 MAX_FRAMING = 8  # bytes on the wire per byte of the body, for a body in small chunks
@@ -30,7 +31,8 @@
 # taken for the answer to the next request, so a connection is reused only after this time. Data that arrives meanwhile,
 # or is still unread at the reuse, closes the connection.
 MIN_IDLE_S = 0.025
-HOLD_UNSIZED_S = 0.5  # interval between checks whether an answer without a length comes as fast as a long one may
+HOLD_CHECK_S = 0.5  # interval between checks whether an answer without a length may be a long one
+HOLD_UNSIZED_S = 1.0  # for this long it is held back however slowly it comes; over 2 s a long one counts as lost
 NEVER_RAN_STATUS = (503, 504)
 
 
@@ -142,7 +144,7 @@
             self.connection.resume_start()
 
     def pass_on(self) -> bool:
-        """Begins to stream what has come of an answer without a length. False if there is none."""
+        """Begins to stream what has come of an answer without a length. False if it does not come any more."""
         return self.connection is not None and self.connection.pass_on_unsized()
 
     def abort(self) -> None:
@@ -164,7 +166,6 @@
         "_account",
         "_answer",
         "_body",
-        "_body_began_at",
         "_connect_task",
         "_headers",
         "_hold_timer",
@@ -174,6 +175,7 @@
         "_paused",
         "_progress_at",
         "_reading_paused",
+        "_receive_progress",
         "_received",
         "_reusable",
         "_sent_end",
@@ -212,7 +214,7 @@
         self._size = self._received = 0
         self._length: int | None = None  # of the answer's body, if known
         self._hold_timer: asyncio.TimerHandle | None = None  # while an answer without a length is held back
-        self._body_began_at = 0.0  # on the loop's clock, for such an answer
+        self._receive_progress: ReceiveProgress | None = None  # once the body of such an answer has begun
         self._until_close = False
         self._in_head = True
         self._answer: Answer | None = None
@@ -400,6 +402,7 @@
     def _clear(self) -> None:
         self._headers, self._body, self._size, self._received = [], bytearray(), 0, 0
         self._length, self._until_close = None, False
+        self._receive_progress = None
         if self._hold_timer is not None:
             self._hold_timer.cancel()
             self._hold_timer = None
@@ -411,6 +414,8 @@
         self._size += len(body)
         if self._size > MAX_BODY:
             raise ValueError("the answer is too large")
+        if self._length is None:
+            self._note_progress(len(body))
         if self._sink is not None:
             self._sink.forward(body)
             return
@@ -419,20 +424,32 @@
         if max(self._size, self._length or 0) > self.pool.budget.answer_limit():
             self._start_stream()
         elif self._length is None and self._hold_timer is None:
-            self._body_began_at = self.pool.loop.time()
-            self._hold_timer = self.pool.loop.call_later(HOLD_UNSIZED_S, self._check_unsized)
-
-    def _check_unsized(self) -> None:
-        if not self.pass_on_unsized() and not self.closed:
-            self._hold_timer = self.pool.loop.call_later(HOLD_UNSIZED_S, self._check_unsized)
+            self._hold_timer = self.pool.loop.call_later(HOLD_CHECK_S, self._check_held, self.pool.loop.time())
+
+    def _note_progress(self, size: int) -> None:
+        now = self.pool.loop.time()
+        if self._receive_progress is None:
+            self._receive_progress = ReceiveProgress(now)
+        self._receive_progress.add(size, now)
+
+    def _check_held(self, held_since: float) -> None:
+        """Ends the holding back of an answer without a length while its server writes on. One that rests is held, so
+        that the request can still be served by another attempt."""
+        progress, now = self._receive_progress, self.pool.loop.time()
+        if self.exchange is None or self._sink is not None or progress is None:
+            return
+        is_due = progress.is_fast(now) or has_elapsed(held_since, HOLD_UNSIZED_S, now)
+        if is_due and progress.has_grown_within(HOLD_CHECK_S, now) and progress.still_comes(now):
+            self._start_stream()
+        else:
+            self._hold_timer = self.pool.loop.call_later(HOLD_CHECK_S, self._check_held, held_since)
 
     def pass_on_unsized(self) -> bool:
-        """Streams an answer without a length from now on, if it may be a long one: it comes at MIN_BODY_RATE."""
-        if self.exchange is None or self._in_head or self._length is not None or not self._body:
-            return self._sink is not None
-        if self._size < MIN_BODY_RATE * (self.pool.loop.time() - self._body_began_at):
-            return False  # an answer that never ends must end with the client's time
-        self._start_stream()
+        """Streams an answer without a length from now on, if it still comes: it may be a long one."""
+        if self._sink is None and self.exchange is not None and self._receive_progress is not None:
+            if not self._receive_progress.still_comes(self.pool.loop.time()):
+                return False  # an answer that never ends must end with the client's time
+            self._start_stream()
         return self._sink is not None
 
     def _start_stream(self) -> None:
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -10,48 +10,125 @@
 
 from balancing import api
 from proxy.flow import MAX_CHUNK
+from proxy.receiving import ReceiveProgress
 from tests.rig import FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
-from tests.test_bodies import raw_server
+from tests.test_bodies import Serve, raw_server
 
 OVERDUE_S = 0.5  # of the terms: a final answer that is later than this after its time is lost
 READ_MS = 20.0  # in which the first requests, which do not wait, are read
 PIECE = 4_000  # bytes; a hundred kilobytes a second
 SLOW_PIECE = 20_000  # bytes; a megabyte a second
 LONG_ANSWER = 200_000  # bytes
+LONGER_THAN_SHORT = 72_000  # bytes; of an answer up to 65,536 the last byte is timed
+MAX_HOLD_S = 2.0  # of the terms: holding back a long answer for this long loses the request
 
 
-@pytest.mark.parametrize("framing", ["chunked", "until the close"])
-def test_a_long_answer_without_a_length_is_passed_on_while_its_server_writes_it_slowly(framing: str) -> None:
-    """It was held back until 64 KiB had come, and cut off at the deadline of its first byte."""
+def paced_server(
+    framing: str, size: int, piece: int, pause_s: float, hang_at: int | None = None, written: list[int] | None = None
+) -> Serve:
+    """Writes an answer of `size` bytes without a length in pieces; hangs once `hang_at` bytes are written."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         field = b"Transfer-Encoding: chunked\r\n" if framing == "chunked" else b"Connection: close\r\n"
         writer.write(b"HTTP/1.1 200 OK\r\n" + field + b"\r\n")
-        for _ in range(LONG_ANSWER // PIECE):
-            piece = bytes(PIECE)
-            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece) if framing == "chunked" else piece)
-            await asyncio.sleep(0.04)
+        for position in range(0, size, piece):
+            if hang_at is not None and position >= hang_at:
+                await reader.read()  # until the proxy closes the connection
+                return
+            data = bytes(min(piece, size - position))
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data) if framing == "chunked" else data)
+            if written is not None:
+                written.append(len(data))
+            await asyncio.sleep(pause_s)
         writer.write(b"0\r\n\r\n" if framing == "chunked" else b"")
         await writer.drain()
         writer.close()
 
+    return serve
+
+
+async def read_chunks(reader: asyncio.StreamReader) -> int:
+    """The bytes of a chunked body; raises an error of the connection if it is cut off."""
+    total = 0
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        total += len(await reader.readexactly(size + 2)) - 2
+    return total
+
+
+@pytest.mark.parametrize("framing", ["chunked", "until the close"])
+def test_a_long_answer_without_a_length_is_passed_on_while_its_server_writes_it_slowly(framing: str) -> None:
+    """It was held back until 64 KiB had come, and cut off at the deadline of its first byte."""
+
     async def test() -> None:
         with Script().installed() as script:
             script.react = first_to("s1")
+            serve = paced_server(framing, LONG_ANSWER, PIECE, 0.04)
             rig = await Rig().start(member("s1", await raw_server(serve)))
             caller = await rig.caller()
             caller.ask(left="0.5")
             head = await caller.reader.readuntil(b"\r\n\r\n")
             assert head.split()[1] == b"200"
-            total = 0
-            while size := int(await caller.reader.readline(), 16):
-                total += len(await caller.reader.readexactly(size + 2)) - 2
-            assert total == LONG_ANSWER
+            assert await read_chunks(caller.reader) == LONG_ANSWER
+
+    run(test)
+
+
+# Pieces in bytes and the pauses between them in seconds: 32 and 12 kB a second, and 30 kB a second with long pauses.
+SLOW_PACES = {"slow": (3_200, 0.1), "very slow": (1_200, 0.1), "with pauses": (24_000, 0.8)}
+
+
+@pytest.mark.parametrize("framing", ["chunked", "until the close"])
+@pytest.mark.parametrize("pace", SLOW_PACES)
+def test_a_long_answer_without_a_length_is_not_cut_off_however_slowly_its_server_writes_on(
+    pace: str, framing: str
+) -> None:
+    """It ended with the client's time if it came slower than 40 kB a second (review/8)."""
+    piece, pause_s = SLOW_PACES[pace]
+
+    async def test() -> None:
+        with Script().installed() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(
+                member("s1", await raw_server(paced_server(framing, LONGER_THAN_SHORT, piece, pause_s)))
+            )
+            caller = await rig.caller()
+            caller.ask("pay", left="1.9")
+            head = await caller.reader.readuntil(b"\r\n\r\n")
+            assert head.split()[1] == b"200"
+            assert await read_chunks(caller.reader) == LONGER_THAN_SHORT
 
     run(test)
 
 
+@pytest.mark.parametrize("pace", SLOW_PACES)
+def test_an_answer_without_a_length_is_held_back_for_less_than_two_seconds(pace: str) -> None:
+    """It was held until 64 KiB had come or the client's time was over: at 32 kB a second for over 2 s (review/8)."""
+    piece, pause_s = SLOW_PACES[pace]
+
+    async def test() -> None:
+        written: list[int] = []
+        serve = paced_server("chunked", int(4.0 / pause_s) * piece, piece, pause_s, written=written)
+        with Script().installed() as script:
+            script.react = first_to("s1")
+            rig = await Rig().start(member("s1", await raw_server(serve)))
+            caller = await rig.caller()
+            caller.ask("pay", left="9.0")
+            await caller.reader.readuntil(b"\r\n\r\n")
+            assert sum(written) < MAX_HOLD_S / pause_s * piece
+
+    run(test)
+
+
+def test_a_trickle_is_no_progress_of_an_answer() -> None:
+    """An answer that never ends, a few bytes at a time, would keep its client waiting without an end."""
+    progress = ReceiveProgress(0.0)
+    progress.add(30_000, 0.0)
+    for step in range(1, 200):
+        progress.add(10, 0.01 * step)
+    assert not progress.still_comes(2.0)
+
+
 def test_a_short_answer_without_a_length_is_still_passed_on_whole() -> None:
     async def test() -> None:
         async with scripted_proxy() as (backend, _script, rig):
