Proxy: a short answer ends in time if its server hangs after a part was passed on

Cause: once an answer streams, no timer of its request ran, though it was not known to be a long one.

--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -725,11 +725,28 @@
                 attempt.exchange.resume_start()
 
     def _on_attempt_timeout(self, attempt: Attempt) -> None:
-        if attempt.exchange is not None and attempt.exchange.pass_on():
-            return  # a long answer, whose first bytes are in time
+        """Ends the attempt, unless its answer is or may become a long one, whose first bytes are in time."""
+        exchange = attempt.exchange
+        overtime_s = exchange.overtime_s((now_ms() - attempt.expires_at) / 1000.0) if exchange is not None else 0.0
+        if exchange is not None and overtime_s > 0.0 and exchange.pass_on():
+            self._extend_attempt(attempt, overtime_s)
+            return
         # An attempt that was not fully written cannot have run, and is not written later.
-        written = attempt.exchange is None or attempt.exchange.is_written()
-        self._end_attempt(attempt, Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED)
+        written = exchange is None or exchange.is_written()
+        self._on_attempt_done(attempt, Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED, None)
+
+    def _extend_attempt(self, attempt: Attempt, overtime_s: float) -> None:
+        """Checks again after `overtime_s` whether the answer has stopped."""
+        self._stop_attempt_timer(attempt)
+        if overtime_s < math.inf:
+            due = now_ms() + overtime_s * 1000.0
+            attempt.timer = Timer(self._loop, due, lambda: self._on_attempt_timeout(attempt))
+
+    @staticmethod
+    def _stop_attempt_timer(attempt: Attempt) -> None:
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+            attempt.timer = None  # breaks the reference cycle with the attempt
 
     def _on_attempt_done(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
         if attempt.ended:
@@ -759,9 +776,9 @@
             return None
         request.streaming_attempt = attempt
         self._stop_timer(request)
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-            attempt.timer = None
+        # The client's time goes on: an answer that turns out short is due within it.
+        self._stop_attempt_timer(attempt)
+        self._set_attempt_timeout(attempt, request.expires_at)
         self._dispatch(api.StreamStarted(request.id, attempt.index))
         return client
 
@@ -782,9 +799,7 @@
         attempt.ended = True
         attempt.outcome = outcome.value
         self._metrics.attempts.add(outcome.value)
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-            attempt.timer = None  # breaks the reference cycle with the attempt
+        self._stop_attempt_timer(attempt)
         if attempt.exchange is not None:
             attempt.exchange.abort()
             attempt.exchange = None
--- a/proxy/receiving.py
+++ b/proxy/receiving.py
@@ -6,10 +6,15 @@
 
 from __future__ import annotations
 
+import math
+
 from proxy.clock import has_elapsed
 from proxy.flow import BODY_STALL_TIMEOUT_S, MAX_BUFFERED_BODY, MIN_BODY_RATE
 
 MAX_REST_S = 1.0  # a server that writes nothing for this long has stopped
+# For an answer that has not grown since the client's time was over: it is lost 0.5 s after that, and the proxy may be
+# held up for 0.15 s.
+MAX_OVERTIME_S = 0.35
 # Bytes per second; an answer that comes slower would be over MAX_BUFFERED_BODY only after BODY_STALL_TIMEOUT_S.
 MIN_ANSWER_RATE = MAX_BUFFERED_BODY / BODY_STALL_TIMEOUT_S
 
@@ -38,11 +43,25 @@
         """Whether all of it came at the pace of the slowest peers that the proxy reckons with."""
         return self.size >= MIN_BODY_RATE * (now - self._began_at)
 
-    def is_long(self) -> bool:
-        return self.size > MAX_BUFFERED_BODY
-
     def still_comes(self, now: float) -> bool:
-        """Whether the server goes on with an answer that may become a long one."""
-        if self.is_long():
-            return True
-        return self.has_grown_within(MAX_REST_S, now) and self.size >= MIN_ANSWER_RATE * (now - self._began_at)
+        """Whether the server goes on with an answer that is a long one or may become one."""
+        return self.overtime_s(now, now) > 0.0
+
+    def overtime_s(self, due_at: float, now: float) -> float:
+        """For how many seconds from now the answer may go on if it does not grow; inf if it is a long one.
+
+        `due_at` is when the client's time was over.
+        """
+        if self.size > MAX_BUFFERED_BODY:
+            return math.inf
+        if self.size < MIN_ANSWER_RATE * (now - self._began_at) or not self.has_grown_within(MAX_REST_S, now):
+            return 0.0
+        stops_at = self._grown_at + MAX_REST_S
+        if self._grown_at <= due_at:
+            stops_at = min(stops_at, due_at + MAX_OVERTIME_S)
+        return max(stops_at - now, 0.0)
+
+    def leave_out(self, pause_s: float) -> None:
+        """Takes off a time in which the proxy did not read, since the client took nothing."""
+        self._began_at += pause_s
+        self._grown_at += pause_s
--- a/proxy/upstream.py
+++ b/proxy/upstream.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import socket
 from collections.abc import Callable
@@ -32,6 +33,7 @@
 # or is still unread at the reuse, closes the connection.
 MIN_IDLE_S = 0.025
 HOLD_CHECK_S = 0.5  # interval between checks whether an answer without a length may be a long one
+UNREAD_CHECK_S = 0.1  # interval between checks of an answer that the proxy itself does not read at once
 HOLD_UNSIZED_S = 1.0  # for this long it is held back however slowly it comes; over 2 s a long one counts as lost
 NEVER_RAN_STATUS = (503, 504)
 
@@ -143,6 +145,10 @@
         if self.connection is not None:
             self.connection.resume_start()
 
+    def overtime_s(self, overdue_s: float) -> float:
+        """For how many seconds its answer may still go on; the client's time is over since `overdue_s`."""
+        return self.connection.overtime_s(overdue_s) if self.connection is not None else 0.0
+
     def pass_on(self) -> bool:
         """Begins to stream what has come of an answer without a length. False if it does not come any more."""
         return self.connection is not None and self.connection.pass_on_unsized()
@@ -173,10 +179,12 @@
         "_length",
         "_parser",
         "_paused",
+        "_paused_at",
         "_progress_at",
         "_reading_paused",
         "_receive_progress",
         "_received",
+        "_resumed_at",
         "_reusable",
         "_sent_end",
         "_sink",
@@ -221,6 +229,7 @@
         self._reusable = False
         self._sink: Sink | None = None
         self._reading_paused = False  # the sink accepts no more data for now
+        self._paused_at = self._resumed_at = -math.inf  # when it last did not, and did again, on the loop's clock
         self._stream_complete = False  # the streamed answer is complete
         self._progress_at = 0.0  # when data of a body was last sent or received, in seconds on the loop's clock
         self.idle_since = 0.0
@@ -444,6 +453,31 @@
         else:
             self._hold_timer = self.pool.loop.call_later(HOLD_CHECK_S, self._check_held, held_since)
 
+    def overtime_s(self, overdue_s: float) -> float:
+        """For how many seconds from now the exchange may go on, though the client's time is over since `overdue_s`.
+
+        0 without a part of the body; inf for the answer over MAX_BUFFERED_BODY of which the first bytes were in time.
+        """
+        if self.exchange is None or self._in_head or not self._size:
+            return 0.0
+        if self._sink is not None:
+            if max(self._size, self._length or 0) > MAX_BUFFERED_BODY:
+                return math.inf
+            if self._is_held_up():
+                return UNREAD_CHECK_S
+        if self._receive_progress is None:
+            return 0.0  # its length is known: it is short, or nothing of it was passed on in time
+        now = self.pool.loop.time()
+        return self._receive_progress.overtime_s(now - overdue_s, now)
+
+    def _is_held_up(self) -> bool:
+        """What the server has written waits for the client or for the event loop."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        if self._reading_paused or self.has_unread():
+            return True
+        return not has_elapsed(self._resumed_at, UNREAD_CHECK_S, self.pool.loop.time())
+
     def pass_on_unsized(self) -> bool:
         """Streams an answer without a length from now on, if it still comes: it may be a long one."""
         if self._sink is None and self.exchange is not None and self._receive_progress is not None:
@@ -516,12 +550,15 @@
         """Stops reading, because the client does not accept more data."""
         if not self._reading_paused and self._transport is not None and not self._transport.is_closing():
             self._reading_paused = True
+            self._paused_at = self.pool.loop.time()
             self._transport.pause_reading()
 
     def resume(self) -> None:
         if self._reading_paused and self._transport is not None:
             self._reading_paused = False
-            self._progress_at = self.pool.loop.time()
+            self._progress_at = self._resumed_at = self.pool.loop.time()
+            if self._receive_progress is not None:
+                self._receive_progress.leave_out(self._resumed_at - self._paused_at)
             if not self._transport.is_closing():
                 self._transport.resume_reading()
 
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -4,17 +4,20 @@
 
 import asyncio
 import itertools
+import math
 import time
+from unittest import mock
 
 import pytest
 
 from balancing import api
-from proxy.flow import MAX_CHUNK
-from proxy.receiving import ReceiveProgress
+from proxy.flow import MAX_BUFFERED_BODY, MAX_CHUNK, MIN_CHUNK
+from proxy.receiving import MAX_OVERTIME_S, MAX_REST_S, ReceiveProgress
 from tests.rig import FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_bodies import Serve, raw_server
 
 OVERDUE_S = 0.5  # of the terms: a final answer that is later than this after its time is lost
+TIME_LIMIT_SLACK_S = 0.05  # of the protocol: every time limit on sockets is this much longer
 READ_MS = 20.0  # in which the first requests, which do not wait, are read
 PIECE = 4_000  # bytes; a hundred kilobytes a second
 SLOW_PIECE = 20_000  # bytes; a megabyte a second
@@ -129,6 +132,128 @@
     assert not progress.still_comes(2.0)
 
 
+async def read_to_the_end(reader: asyncio.StreamReader) -> bytes:
+    """All that a client gets until its answer or its connection ends."""
+    data = b""
+    try:
+        while part := await reader.read(1 << 16):
+            data += part
+            if data.startswith(b"HTTP/1.1 502") and data.endswith(b"\r\n\r\n"):
+                break
+    except ConnectionError:
+        pass
+    return data
+
+
+# Pieces in bytes, the pauses between them in seconds, and where the server hangs: at once, while its answer would be
+# passed on for its pace, 0.1 s before the client's time is over, and after the first byte.
+HANGS = {
+    "at once": (30_000, 0.0, 30_000),
+    "late": (4_000, 0.05, 60_000),
+    "just before the time is over": (3_200, 0.1, 28_800),
+    "after a byte": (1, 0.0, 1),
+}
+
+
+@pytest.mark.parametrize("framing", ["chunked", "until the close"])
+@pytest.mark.parametrize("hang", HANGS)
+def test_a_short_answer_without_a_length_ends_in_time_if_its_server_hangs_within_it(hang: str, framing: str) -> None:
+    """Once a part of it was passed on, only the time-out of a silent server ended it, after 20 s (review/9)."""
+    piece, pause_s, hang_at = HANGS[hang]
+
+    async def test() -> None:
+        with Script().installed() as script:
+            script.react = first_to("s1")
+            serve = paced_server(framing, 64_000, piece, pause_s, hang_at)
+            rig = await Rig().start(member("s1", await raw_server(serve)))
+            caller = await rig.caller()
+            caller.ask("pay", left="1.0")
+            async with asyncio.timeout(1.0 + OVERDUE_S + TIME_LIMIT_SLACK_S):
+                data = await read_to_the_end(caller.reader)
+            assert data.startswith(b"HTTP/1.1 502") or (
+                data.startswith(b"HTTP/1.1 200") and not data.endswith(b"\r\n0\r\n\r\n")
+            )
+            (outcome,) = script.outcomes()
+            assert outcome[1] is api.Outcome.TIMEOUT
+            assert not rig.proxy.has_open_requests()
+            assert rig.budget.streaming == 0
+
+    run(test)
+
+
+@pytest.mark.parametrize("framing", ["with its length", "chunked"])
+def test_a_short_answer_in_pieces_ends_in_time_if_its_server_hangs_and_memory_is_short(framing: str) -> None:
+    """Answers of any length pass in pieces then, and no time of the request ran from their first byte on (review/9)."""
+
+    async def test() -> None:
+        async with scripted_proxy() as (backend, script, rig):
+            with mock.patch.object(rig.budget, "answer_limit", lambda: MIN_CHUNK):
+                caller = await rig.caller()
+                caller.ask("pay", left="0.6")
+                call = await backend.next()
+                field = b"Content-Length: 60000" if framing == "with its length" else b"Transfer-Encoding: chunked"
+                call.writer.write(b"HTTP/1.1 200 OK\r\n%s\r\n\r\n" % field)
+                call.writer.write(bytes(30_000) if framing == "with its length" else b"7530\r\n%s\r\n" % bytes(30_000))
+                async with asyncio.timeout(0.6 + OVERDUE_S + TIME_LIMIT_SLACK_S):
+                    data = await read_to_the_end(caller.reader)
+                assert data.startswith(b"HTTP/1.1 200")
+                assert [outcome for _, outcome, _ in script.outcomes()] == [api.Outcome.TIMEOUT]
+                await call.closed()
+
+    run(test)
+
+
+@pytest.mark.parametrize("framing", ["with its length", "chunked"])
+def test_a_short_answer_that_waits_for_its_client_is_not_cut_off_at_the_clients_time(framing: str) -> None:
+    """Its server has written all of it; the proxy does not read, since the client takes nothing."""
+
+    async def test() -> None:
+        async with scripted_proxy() as (backend, script, rig):
+            with mock.patch.object(rig.budget, "answer_limit", lambda: MIN_CHUNK):
+                caller = await rig.caller()
+                caller.ask("pay", left="0.4")
+                call = await backend.next()
+                field = b"Content-Length: 60000" if framing == "with its length" else b"Transfer-Encoding: chunked"
+                call.writer.write(b"HTTP/1.1 200 OK\r\n%s\r\n\r\n" % field)
+                first, rest = bytes(30_000), bytes(30_000)
+                if framing == "chunked":
+                    first, rest = b"7530\r\n%s\r\n" % first, b"7530\r\n%s\r\n0\r\n\r\n" % rest
+                call.writer.write(first)
+                await script.until(api.StreamStarted)
+                (request,) = rig.proxy._requests.values()
+                source = request.attempts[0].exchange
+                assert source is not None
+                assert source.connection is not None
+                source.connection.pause()
+                call.writer.write(rest)
+                await asyncio.sleep(2.0)
+                source.connection.resume()
+                head = await caller.reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200")
+                if framing == "chunked":
+                    assert await read_chunks(caller.reader) == 60_000
+                else:
+                    await caller.reader.readexactly(60_000)
+
+    run(test)
+
+
+def test_an_answer_that_still_comes_goes_on_past_the_clients_time_until_its_server_stops() -> None:
+    """The rule for answers without a length: neither cut off while they come, nor left open once they have stopped."""
+    progress = ReceiveProgress(0.0)
+    progress.add(20_000, 0.0)
+    progress.add(20_000, 0.9)
+    assert progress.overtime_s(1.0, 1.0) == pytest.approx(MAX_OVERTIME_S)
+    assert progress.overtime_s(1.0, 1.0 + MAX_OVERTIME_S) == 0.0  # it has not grown since the client's time was over
+    progress.add(4_000, 1.2)
+    assert progress.overtime_s(1.0, 1.2) == pytest.approx(MAX_REST_S)
+    assert progress.overtime_s(1.0, 1.2 + MAX_REST_S) == 0.0
+    progress.leave_out(5.0)
+    assert progress.overtime_s(1.0, 6.2) == pytest.approx(MAX_REST_S)
+    progress.add(MAX_BUFFERED_BODY, 6.3)
+    assert progress.overtime_s(1.0, 30.0) == math.inf
+
+
 def test_a_short_answer_without_a_length_is_still_passed_on_whole() -> None:
     async def test() -> None:
         async with scripted_proxy() as (backend, _script, rig):
