Proxy: a process that starts while the proxy is emptied closes its connections

Cause: the new process reads the order from the old one's mark file before Evacuation listens for changes of the phase, which then saw no change. A listener is now called with the phase in force at once. The same holds for an evacuation from before the start, and for an order to the new process itself.

--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -87,7 +87,7 @@
         self._front = front
         self._life = life
         self._timer: asyncio.TimerHandle | None = None
-        life.listeners.append(self._phase_changed)
+        life.add_listener(self._phase_changed)
 
     def _phase_changed(self, phase: Phase) -> None:
         if phase is Phase.EVACUATING:
--- a/proxy/handover.py
+++ b/proxy/handover.py
@@ -71,7 +71,7 @@
         self.descriptors = 0
         self.export_state: Callable[[], dict[str, Any]] = dict
         self.on_peers_read: Callable[[], None] = lambda: None
-        life.listeners.append(lambda phase: self.write())
+        life.add_listener(lambda phase: self.write())
 
     def _path(self, start: int, ending: str) -> Path:
         return self._folder / f"{PREFIX}{start}{ending}"
--- a/proxy/lifecycle.py
+++ b/proxy/lifecycle.py
@@ -18,11 +18,11 @@
 
 
 class LifeCycle:
-    """State of the process. `listeners` are called with the new phase after each change."""
+    """State of the process."""
 
     def __init__(self) -> None:
         self.phase = Phase.STARTING
-        self.listeners: list[Callable[[Phase], None]] = []
+        self._listeners: list[Callable[[Phase], None]] = []
         # The latest operator order and its time (time.monotonic()); of two processes that act as one proxy, the later
         # order counts.
         self.evacuation_ordered = False
@@ -32,6 +32,11 @@
         # Another process serves at the same address: the two act as one proxy, which stays up.
         self.has_successor: Callable[[], bool] = lambda: False
 
+    def add_listener(self, listener: Callable[[Phase], None]) -> None:
+        """Calls the listener with the phase in force at once, and with the new phase after each change."""
+        self._listeners.append(listener)
+        listener(self.phase)
+
     def is_ready(self) -> bool:
         """The result of the admin endpoint's readiness call.
 
@@ -84,5 +89,5 @@
     def _enter(self, phase: Phase) -> None:
         log.info("phase is %s, was %s", phase.value, self.phase.value)
         self.phase = phase
-        for listener in self.listeners:
+        for listener in self._listeners:
             listener(phase)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -429,3 +429,59 @@
         assert list(shared.iterdir()) == []
 
     run(test)
+
+
+async def until_accepted(address: tuple[str, int], order: str) -> int:
+    """The status of an admin call, made as soon as the process listens for it."""
+    while True:
+        try:
+            return (await call(address, order)).status
+        except OSError:
+            await asyncio.sleep(0.002)
+
+
+@pytest.mark.parametrize("ordered", ["to the old process before the start", "to the new process during its start"])
+def test_a_process_that_starts_while_the_proxy_is_emptied_closes_its_connections(ordered: str, tmp_path: Path) -> None:
+    """It learned of the order before anything closed connections for one, and kept them open (review/10)."""
+
+    async def test() -> None:
+        backend = await FakeServer().start()
+        shared = tmp_path / "shared"
+        shared.mkdir()
+        old = start_handover(shared)
+        old._life.mark_ready()
+        if ordered == "to the old process before the start":
+            old._life.evacuate()
+            old.watch()  # else it writes no state, for which the new process waits meanwhile
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(64)
+            address, control_at = listener.getsockname(), ("127.0.0.1", free_port())
+            config = make_config("{}:{}".format(*address), "127.0.0.1:1", member("s1", backend.address), group_size=1)
+            new = await launch(
+                {**config, "control": "{}:{}".format(*control_at)},
+                tmp_path,
+                listener.fileno(),
+                NODE_INHERITED_FD=str(listener.fileno()),
+                TMPDIR=str(shared),
+            )
+            if ordered == "to the new process during its start":
+                assert await until_accepted(control_at, "POST /api/evacuate") == 200
+            await until_serving(new)
+            busy, silent = [Caller(*await asyncio.open_connection(*address)) for _ in range(2)]
+            busy.ask()
+            (await backend.next()).reply(200, b"served")
+            answer = await busy.answer()
+            assert (answer.body, answer.headers.get("connection")) == (b"served", "close")
+            assert await busy.ended()
+            assert await silent.ended()
+            assert (await call(control_at, "POST /api/rejoin")).status == 200
+            back = Caller(*await asyncio.open_connection(*address))
+            back.ask()
+            (await backend.next()).reply(200, b"again")
+            assert "connection" not in (await back.answer()).headers
+            new.send_signal(signal.SIGTERM)
+            assert await new.wait() == 0
+        old.close()
+
+    run(test)
