Proxy: an upgrade gets its yes if the proxy is emptied right after the new start

Cause: only an order from before the readiness of the new process left it ready. An order that this process follows from the other one now does at any time; one given to the process itself still makes it unready.

--- a/proxy/lifecycle.py
+++ b/proxy/lifecycle.py
@@ -28,7 +28,7 @@
         self.evacuation_ordered = False
         self.ordered_at = 0.0
         self._can_serve = False  # the servers are known and the listener is open
-        self._started_evacuated = False  # the evacuation was ordered before this process was ready
+        self._follows_order = False  # the latest order was given to the other process
         # Another process serves at the same address: the two act as one proxy, which stays up.
         self.has_successor: Callable[[], bool] = lambda: False
 
@@ -40,11 +40,11 @@
     def is_ready(self) -> bool:
         """The result of the admin endpoint's readiness call.
 
-        An evacuation that was in force when this process started does not make it unready: the platform would abort
+        An evacuation that was ordered of the other process does not make this one unready: the platform would abort
         the upgrade, although the new version could replace the old one. `/up` still directs no clients here.
         """
         return self.phase is Phase.SERVING or (
-            self.phase is Phase.EVACUATING and self._can_serve and self._started_evacuated
+            self.phase is Phase.EVACUATING and self._can_serve and self._follows_order
         )
 
     def is_up(self) -> bool:
@@ -72,15 +72,14 @@
 
     def _record_order(self, evacuation_ordered: bool, at: float | None) -> None:
         self.evacuation_ordered = evacuation_ordered
-        self._started_evacuated = False
+        self._follows_order = False
         self.ordered_at = time.monotonic() if at is None else at
 
     def follow(self, evacuation_ordered: bool, at: float) -> None:
         """Applies an order given to the other process, unless a later one was given to this process."""
         if at > self.ordered_at:
-            is_start = self.phase is Phase.STARTING
             (self.evacuate if evacuation_ordered else self.rejoin)(at)
-            self._started_evacuated = is_start and evacuation_ordered
+            self._follows_order = True
 
     def leave(self) -> None:
         if self.phase is not Phase.LEAVING:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -153,6 +153,22 @@
     run(test)
 
 
+def test_an_order_to_the_old_process_right_after_the_new_one_got_ready_leaves_it_ready(tmp_path: Path) -> None:
+    """The platform, which asks now and then, never got its yes and would have aborted the upgrade."""
+
+    async def test() -> None:
+        old, new = start_handover(tmp_path), start_handover(tmp_path)
+        old._life.mark_ready()
+        new._life.mark_ready()
+        old._life.evacuate()
+        new.read_peers()
+        assert (new._life.phase, new._life.is_up(), new._life.is_ready()) == (Phase.EVACUATING, False, True)
+        new._life.evacuate()  # to this process itself: it takes no clients
+        assert not new._life.is_ready()
+
+    run(test)
+
+
 def test_descriptors_and_memory_of_both_together_stay_within_the_limits(tmp_path: Path) -> None:
     async def test() -> None:
         sockets = 200
