Proxy: an order to get empty that a leaving process takes reaches its successor

The successor took clients on, and /up of the old one said yes on connections that were kept. A rejoin that was refused was recorded all the same.

An order is now told to the listeners of the life cycle also where the phase stays, and a refused one changes nothing. The new test fails without it.

--- a/proxy/lifecycle.py
+++ b/proxy/lifecycle.py
@@ -33,7 +33,7 @@
         self.has_successor: Callable[[], bool] = lambda: False
 
     def add_listener(self, listener: Callable[[Phase], None]) -> None:
-        """Calls the listener with the phase in force at once, and with the new phase after each change."""
+        """Calls the listener with the phase in force at once, and after each change of the phase or new order."""
         self._listeners.append(listener)
         listener(self.phase)
 
@@ -49,37 +49,42 @@
 
     def is_up(self) -> bool:
         """The result of `/up`, by which clients choose a proxy."""
-        return self.phase is Phase.SERVING or (self.phase is Phase.LEAVING and self.has_successor())
+        if self.phase is Phase.LEAVING:
+            return self.has_successor() and not self.evacuation_ordered
+        return self.phase is Phase.SERVING
 
     def mark_ready(self) -> None:
         self._can_serve = True
         if self.phase is Phase.STARTING:
             self._enter(Phase.SERVING)
 
-    def evacuate(self, at: float | None = None) -> bool:
-        """Directs clients away; `at` is the time of the order, now by default. Always succeeds."""
-        self._record_order(True, at)
-        if self.phase in (Phase.STARTING, Phase.SERVING):
-            self._enter(Phase.EVACUATING)
-        return True  # a process in LEAVING directs its clients away as well
+    def evacuate(self) -> bool:
+        """Directs clients away. Always succeeds: a process in LEAVING does so as well, and its successor follows."""
+        self._apply_order(True, time.monotonic(), is_followed=False)
+        return True
 
-    def rejoin(self, at: float | None = None) -> bool:
+    def rejoin(self) -> bool:
         """Ends an evacuation; returns False after SIGTERM, when it can no longer be ended."""
-        self._record_order(False, at)
-        if self.phase is Phase.EVACUATING:
-            self._enter(Phase.SERVING if self._can_serve else Phase.STARTING)
-        return self.phase is not Phase.LEAVING
-
-    def _record_order(self, evacuation_ordered: bool, at: float | None) -> None:
-        self.evacuation_ordered = evacuation_ordered
-        self._follows_order = False
-        self.ordered_at = time.monotonic() if at is None else at
+        if self.phase is Phase.LEAVING:
+            return False
+        self._apply_order(False, time.monotonic(), is_followed=False)
+        return True
 
     def follow(self, evacuation_ordered: bool, at: float) -> None:
         """Applies an order given to the other process, unless a later one was given to this process."""
         if at > self.ordered_at:
-            (self.evacuate if evacuation_ordered else self.rejoin)(at)
-            self._follows_order = True
+            self._apply_order(evacuation_ordered, at, is_followed=True)
+
+    def _apply_order(self, evacuation_ordered: bool, at: float, is_followed: bool) -> None:
+        self.evacuation_ordered = evacuation_ordered
+        self.ordered_at = at
+        self._follows_order = is_followed
+        if evacuation_ordered and self.phase in (Phase.STARTING, Phase.SERVING):
+            self._enter(Phase.EVACUATING)
+        elif not evacuation_ordered and self.phase is Phase.EVACUATING:
+            self._enter(Phase.SERVING if self._can_serve else Phase.STARTING)
+        else:
+            self._notify()  # of the order, which the other process follows
 
     def leave(self) -> None:
         if self.phase is not Phase.LEAVING:
@@ -88,5 +93,8 @@
     def _enter(self, phase: Phase) -> None:
         log.info("phase is %s, was %s", phase.value, self.phase.value)
         self.phase = phase
+        self._notify()
+
+    def _notify(self) -> None:
         for listener in self._listeners:
-            listener(phase)
+            listener(self.phase)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -501,3 +501,30 @@
         old.close()
 
     run(test)
+
+
+def test_an_order_to_a_leaving_process_reaches_its_successor(tmp_path: Path) -> None:
+    """It was answered with yes and told to nobody: the successor took clients on."""
+
+    async def test() -> None:
+        old, new = start_handover(tmp_path), start_handover(tmp_path)
+        old._life.has_successor = old.has_successor
+        for one in (old, new):
+            one._life.mark_ready()
+        old.read_peers()
+        old._life.leave()
+        assert old._life.is_up()  # by its successor
+        assert old._life.evacuate()
+        new.read_peers()
+        assert new._life.phase is Phase.EVACUATING
+        assert not old._life.is_up()
+        new._life.rejoin()
+        old.read_peers()
+        assert old._life.is_up()
+        new._life.evacuate()
+        old.read_peers()
+        assert not old._life.rejoin()  # refused, so it changes nothing
+        new.read_peers()
+        assert (old._life.is_up(), new._life.phase) == (False, Phase.EVACUATING)
+
+    run(test)
