--- a/proxy/__main__.py
+++ b/proxy/__main__.py
@@ -24,6 +24,7 @@
 from proxy.client_request import RequestReader
 from proxy.config import BadConfig, NodeConfig, inherited_listener, load_config
 from proxy.control import AdminEndpoint, Configuration, admin_calls
+from proxy.descriptors import Descriptors
 from proxy.flow import BodyBudget
 from proxy.frontend import Frontend
 from proxy.handover import Handover
@@ -32,7 +33,6 @@
 from proxy.metrics import ProxyMetrics
 from proxy.proxy import Proxy
 from proxy.sentidfiles import SentIdFiles
-from proxy.upstream import Descriptors
 from proxy.usage import UsageLog
 
 # New connections still arrive for 0.2 to 0.4 s after SIGTERM. Only after that are connections closed with their next
--- a/proxy/frontend.py
+++ b/proxy/frontend.py
@@ -16,6 +16,7 @@
 from proxy.client_request import ClientRequest, RequestReader, origin_form
 from proxy.clock import has_elapsed
 from proxy.config import Address
+from proxy.descriptors import Descriptors
 from proxy.flow import (
     BODY_STALL_TIMEOUT_S,
     MAX_BODY,
@@ -40,7 +41,7 @@
     TunnelRequested,
 )
 from proxy.sending import SendProgress
-from proxy.upstream import Descriptors, Source
+from proxy.upstream import Source
 
 log = logging.getLogger(__name__)
 
--- a/proxy/proxy.py
+++ b/proxy/proxy.py
@@ -20,6 +20,7 @@
 from balancing.sentids import SentIds
 from proxy.client_request import BUSY_RETRY_AFTER_MS, ClientRequest, retry_after_headers
 from proxy.config import Address, NodeConfig
+from proxy.descriptors import Descriptors
 from proxy.discovery import Discovery, ListReader
 from proxy.flow import BodyBudget
 from proxy.frontend import HOP_BY_HOP_HEADERS, ClientConnection
@@ -28,7 +29,7 @@
 from proxy.metrics import ProxyMetrics
 from proxy.request_parser import Headers
 from proxy.sentidfiles import SentIdFiles
-from proxy.upstream import Answer, Descriptors, Exchange, Pool, Sink, Source, Start
+from proxy.upstream import Answer, Exchange, Pool, Sink, Source, Start
 
 log = logging.getLogger(__name__)
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -17,11 +17,11 @@
 from balancing import api
 from proxy.client_request import RequestReader
 from proxy.config import NodeConfig, read_config
+from proxy.descriptors import Descriptors
 from proxy.flow import BodyBudget
 from proxy.frontend import Frontend
 from proxy.lifecycle import LifeCycle
 from proxy.proxy import Proxy
-from proxy.upstream import Descriptors
 from tests.test_simhost import INFO
 
 LANES = [
--- a/tests/test_descriptor_reserve.py
+++ b/tests/test_descriptor_reserve.py
@@ -15,7 +15,7 @@
 
 from mastlift.lab.addresses import free_port
 from proxy import frontend
-from proxy.upstream import Descriptors
+from proxy.descriptors import Descriptors
 from tests.rig import Caller, FakeServer, Rig, make_config, member, run
 from tests.test_frontend import head
 from tests.test_process import launch, until_serving
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -10,7 +10,7 @@
 
 from balancing import api
 from proxy import frontend
-from proxy.upstream import Descriptors
+from proxy.descriptors import Descriptors
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -21,10 +21,10 @@
 from mastlift.lab.addresses import free_port
 from proxy import handover
 from proxy.__main__ import Succession
+from proxy.descriptors import Descriptors
 from proxy.handover import Handover
 from proxy.lifecycle import LifeCycle, Phase
 from proxy.proxy import Proxy
-from proxy.upstream import Descriptors
 from tests.harness import SAFE, SETTINGS, Checker, servers
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, make_config, member, run
 from tests.test_control import call, launch
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -6,6 +6,8 @@
 import itertools
 import math
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from unittest import mock
 
 import pytest
@@ -13,7 +15,7 @@
 from balancing import api
 from proxy.flow import MAX_BUFFERED_BODY, MAX_CHUNK, MIN_CHUNK
 from proxy.receiving import MAX_OVERTIME_S, MAX_REST_S, ReceiveProgress
-from tests.rig import FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
+from tests.rig import Call, Caller, FakeServer, Message, Rig, Script, first_to, member, run, scripted_proxy
 from tests.test_bodies import Serve, raw_server
 
 OVERDUE_S = 0.5  # of the terms: a final answer that is later than this after its time is lost
@@ -181,59 +183,61 @@
     run(test)
 
 
-@pytest.mark.parametrize("framing", ["with its length", "chunked"])
+SHORT_ANSWER = 60_000  # bytes; written in two halves
+HALF = bytes(SHORT_ANSWER // 2)
+HEADS = {"with its length": b"Content-Length: %d" % SHORT_ANSWER, "chunked": b"Transfer-Encoding: chunked"}
+HALVES = {"with its length": HALF, "chunked": b"%x\r\n%s\r\n" % (len(HALF), HALF)}
+ENDS = {"with its length": b"", "chunked": b"0\r\n\r\n"}
+
+
+@asynccontextmanager
+async def half_answered(framing: str, left: str) -> AsyncIterator[tuple[Call, Script, Rig, Caller]]:
+    """A proxy with little memory, so that answers pass in pieces, and a request with half of its answer."""
+    async with scripted_proxy() as (backend, script, rig):
+        with mock.patch.object(rig.budget, "answer_limit", lambda: MIN_CHUNK):
+            caller = await rig.caller()
+            caller.ask("pay", left=left)
+            call = await backend.next()
+            call.writer.write(b"HTTP/1.1 200 OK\r\n%s\r\n\r\n%s" % (HEADS[framing], HALVES[framing]))
+            yield call, script, rig, caller
+
+
+@pytest.mark.parametrize("framing", HEADS)
 def test_a_short_answer_in_pieces_ends_in_time_if_its_server_hangs_and_memory_is_short(framing: str) -> None:
     """Answers of any length pass in pieces then, and no time of the request ran from their first byte on (review/9)."""
 
     async def test() -> None:
-        async with scripted_proxy() as (backend, script, rig):
-            with mock.patch.object(rig.budget, "answer_limit", lambda: MIN_CHUNK):
-                caller = await rig.caller()
-                caller.ask("pay", left="0.6")
-                call = await backend.next()
-                field = b"Content-Length: 60000" if framing == "with its length" else b"Transfer-Encoding: chunked"
-                call.writer.write(b"HTTP/1.1 200 OK\r\n%s\r\n\r\n" % field)
-                call.writer.write(bytes(30_000) if framing == "with its length" else b"7530\r\n%s\r\n" % bytes(30_000))
-                async with asyncio.timeout(0.6 + OVERDUE_S + TIME_LIMIT_SLACK_S):
-                    data = await read_to_the_end(caller.reader)
-                assert data.startswith(b"HTTP/1.1 200")
-                assert [outcome for _, outcome, _ in script.outcomes()] == [api.Outcome.TIMEOUT]
-                await call.closed()
+        async with half_answered(framing, left="0.6") as (call, script, _rig, caller):
+            async with asyncio.timeout(0.6 + OVERDUE_S + TIME_LIMIT_SLACK_S):
+                data = await read_to_the_end(caller.reader)
+            assert data.startswith(b"HTTP/1.1 200")
+            assert [outcome for _, outcome, _ in script.outcomes()] == [api.Outcome.TIMEOUT]
+            await call.closed()
 
     run(test)
 
 
-@pytest.mark.parametrize("framing", ["with its length", "chunked"])
+@pytest.mark.parametrize("framing", HEADS)
 def test_a_short_answer_that_waits_for_its_client_is_not_cut_off_at_the_clients_time(framing: str) -> None:
     """Its server has written all of it; the proxy does not read, since the client takes nothing."""
 
     async def test() -> None:
-        async with scripted_proxy() as (backend, script, rig):
-            with mock.patch.object(rig.budget, "answer_limit", lambda: MIN_CHUNK):
-                caller = await rig.caller()
-                caller.ask("pay", left="0.4")
-                call = await backend.next()
-                field = b"Content-Length: 60000" if framing == "with its length" else b"Transfer-Encoding: chunked"
-                call.writer.write(b"HTTP/1.1 200 OK\r\n%s\r\n\r\n" % field)
-                first, rest = bytes(30_000), bytes(30_000)
-                if framing == "chunked":
-                    first, rest = b"7530\r\n%s\r\n" % first, b"7530\r\n%s\r\n0\r\n\r\n" % rest
-                call.writer.write(first)
-                await script.until(api.StreamStarted)
-                (request,) = rig.proxy._requests.values()
-                source = request.attempts[0].exchange
-                assert source is not None
-                assert source.connection is not None
-                source.connection.pause()
-                call.writer.write(rest)
-                await asyncio.sleep(2.0)
-                source.connection.resume()
-                head = await caller.reader.readuntil(b"\r\n\r\n")
-                assert head.startswith(b"HTTP/1.1 200")
-                if framing == "chunked":
-                    assert await read_chunks(caller.reader) == 60_000
-                else:
-                    await caller.reader.readexactly(60_000)
+        async with half_answered(framing, left="0.4") as (call, script, rig, caller):
+            await script.until(api.StreamStarted)
+            (request,) = rig.proxy._requests.values()
+            exchange = request.attempts[0].exchange
+            assert exchange is not None
+            assert exchange.connection is not None
+            exchange.connection.pause()
+            call.writer.write(HALVES[framing] + ENDS[framing])
+            await asyncio.sleep(2.0)
+            exchange.connection.resume()
+            head = await caller.reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            if framing == "chunked":
+                assert await read_chunks(caller.reader) == SHORT_ANSWER
+            else:
+                await caller.reader.readexactly(SHORT_ANSWER)
 
     run(test)
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,8 +12,9 @@
 
 from balancing import api
 from balancing.api import Outcome
+from proxy.descriptors import Descriptors
 from proxy.flow import BodyBudget
-from proxy.upstream import Answer, Descriptors, Exchange, Pool
+from proxy.upstream import Answer, Exchange, Pool
 from tests.rig import Caller, FakeServer, Rig, Script, first_to, member, run
 
 NEVER_RAN = "X-Never-Ran: 1"
